--- /dev/null
+++ b/core/cached/doc.go
@@ -0,0 +1,2 @@
+// Package cached remembers which engines keep which shared parts of prompts.
+package cached
--- /dev/null
+++ b/core/cached/map.go
@@ -0,0 +1,100 @@
+package cached
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentoseam/core/call"
+)
+
+const (
+	// mostChains bounds the memory; at 100 bytes and a few engines each it is about 4 MB.
+	mostChains = 16384
+	// keepTime is how long a part is taken to stay cached after its last use; engines drop the
+	// least recently used parts, and their events of that come late or never.
+	keepTime = 90 * time.Second
+)
+
+// Chain is the hash of the leading parts of a prompt up to one of them.
+type Chain uint64
+
+// Map tells for each chain of parts the engines that have processed it.
+type Map struct {
+	mu     sync.Mutex
+	chains map[Chain]map[string]time.Time
+}
+
+// New returns an empty Map.
+func New() *Map {
+	return &Map{chains: make(map[Chain]map[string]time.Time)}
+}
+
+// Chains returns the chain that ends at each part.
+func Chains(model string, parts []call.Part) []Chain {
+	chains := make([]Chain, len(parts))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(model)
+	for i, p := range parts {
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(p.ID)
+		chains[i] = Chain(d.Sum64())
+	}
+	return chains
+}
+
+// Note records that an engine keeps the chains.
+func (m *Map) Note(engine string, chains []Chain) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range chains {
+		if m.chains[c] == nil {
+			m.shrink()
+			m.chains[c] = make(map[string]time.Time)
+		}
+		m.chains[c][engine] = now
+	}
+}
+
+// shrink makes room for one more chain.
+func (m *Map) shrink() {
+	for c := range m.chains {
+		if len(m.chains) < mostChains {
+			return
+		}
+		delete(m.chains, c)
+	}
+}
+
+// Held returns for each engine how many tokens of the parts it keeps.
+func (m *Map) Held(chains []Chain, parts []call.Part) map[string]int {
+	oldest := time.Now().Add(-keepTime)
+	held := make(map[string]int)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := 0
+	for i, c := range chains {
+		for engine, used := range m.chains[c] {
+			if used.After(oldest) && held[engine] == before {
+				held[engine] = before + parts[i].Tokens
+			}
+		}
+		before += parts[i].Tokens
+	}
+	return held
+}
+
+// Forget drops what is known of an engine, as after its restart.
+func (m *Map) Forget(engine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c, engines := range m.chains {
+		delete(engines, engine)
+		if len(engines) == 0 {
+			delete(m.chains, c)
+		}
+	}
+}
--- /dev/null
+++ b/core/place/doc.go
@@ -0,0 +1,2 @@
+// Package place chooses the engines that process a prompt and generate its output.
+package place
--- /dev/null
+++ b/core/place/placer.go
@@ -0,0 +1,194 @@
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Engine is what an entry knows of a model engine when it places a request.
+type Engine struct {
+	ID      string
+	Zone    string
+	Prefill bool          // Processes prompts only; else it also generates outputs.
+	Waiting time.Duration // Work of prompts that were sent to it and have no first token yet.
+	Making  int           // Requests that generate output on it.
+	Tokens  int           // KV cache that these hold.
+	Slots   int           // Requests that it runs at once.
+	Memory  int           // Tokens that fit into its KV cache.
+	Slow    float64       // How much slower than stated it has been, 1 if not.
+	Held    int           // Leading tokens of the prompt that it keeps.
+}
+
+func (e *Engine) slow() float64 {
+	return max(1, e.Slow)
+}
+
+// Job is a request for a model.
+type Job struct {
+	Prompt int
+	Output int
+	Zone   string        // Of the entry.
+	Target time.Duration // Latency that the caller aims at.
+	Bytes  int           // Of the KV cache of one token.
+	Link   float64       // Mbit/s between engines.
+}
+
+// Choice tells where a request goes.
+type Choice struct {
+	Read  *Engine       // Processes the prompt first; nil if Make does it.
+	Make  *Engine       // Generates the output.
+	Fetch *Engine       // Keeps parts of the prompt that Read, or Make without it, lacks; nil for none.
+	Work  time.Duration // Time that the reading engine spends on the prompt.
+	Delay time.Duration // Estimated time to the first token.
+}
+
+// Placer weighs delay, work and memory moved.
+type Placer struct {
+	speed Speed
+}
+
+const (
+	// workWeight is what a unit of an engine's time counts for against one of the request's own
+	// delay: other requests wait behind it.
+	workWeight = 0.5
+	// zoneCost is the delay that a send to another availability zone counts for beside its time.
+	zoneCost = 4 * time.Millisecond
+	// fetchLeast is the number of tokens from which a fetch takes less time than processing them.
+	fetchLeast = 256
+	// fullShare is the share of slots or memory from which an engine takes no further output.
+	fullShare = 0.9
+	// crowded is the delay that a decode engine's load at its last free place counts for.
+	crowded = 300 * time.Millisecond
+	// spread keeps entries that know the same from all choosing the same engine.
+	spread = 3 * time.Millisecond
+)
+
+// Option changes a Placer.
+type Option func(*Placer)
+
+// WithSpeed sets the figures of the engines.
+func WithSpeed(s Speed) Option {
+	return func(p *Placer) { p.speed = s }
+}
+
+// New returns a Placer.
+func New(opts ...Option) *Placer {
+	p := &Placer{speed: defaultSpeed}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Choose returns the cheapest way to serve a job, and false if no engine can.
+func (p *Placer) Choose(job *Job, engines []*Engine) (Choice, bool) {
+	source := best(engines)
+	var found Choice
+	var least time.Duration
+	consider := func(c Choice, cost time.Duration) {
+		if found.Make == nil || cost < least {
+			found, least = c, cost
+		}
+	}
+	maker, making := p.maker(job, engines, nil)
+	if maker == nil {
+		return Choice{}, false
+	}
+	for _, e := range engines {
+		c := p.reading(job, e, source)
+		cost := c.Delay + time.Duration(workWeight*float64(c.Work)) + p.apart(e.Zone, job.Zone) + jitter()
+		if !e.Prefill {
+			if e.crowded() {
+				continue
+			}
+			c.Make = e
+			consider(c, cost+p.load(e))
+			continue
+		}
+		c.Read, c.Make = e, maker
+		move := p.speed.Move(job.Prompt, job.Bytes, job.Link, e.Zone != maker.Zone)
+		c.Delay += move + p.speed.Network + p.speed.Step
+		consider(c, cost+move+p.speed.Network+p.speed.Step+making)
+	}
+	return found, true
+}
+
+// reading returns the choice of e for the prompt, with the delay until it is processed.
+func (p *Placer) reading(job *Job, e, source *Engine) Choice {
+	held, fetch := e.Held, time.Duration(0)
+	c := Choice{}
+	if source != nil && source != e && source.Held-held >= fetchLeast {
+		c.Fetch = source
+		fetch = p.speed.Move(source.Held-held, job.Bytes, job.Link, source.Zone != e.Zone)
+		held = source.Held
+	}
+	c.Work = p.speed.Read(e, job.Prompt, held)
+	c.Delay = p.speed.Network + fetch + e.Waiting + c.Work
+	return c
+}
+
+// maker returns the decode engine for an output, with what its load counts for.
+func (p *Placer) maker(job *Job, engines []*Engine, read *Engine) (*Engine, time.Duration) {
+	var found *Engine
+	var least time.Duration
+	for _, e := range engines {
+		if e.Prefill {
+			continue
+		}
+		cost := p.load(e) + e.Waiting/2 + p.apart(e.Zone, job.Zone) + jitter()
+		if e.crowded() {
+			cost += time.Second
+		}
+		if read != nil {
+			cost += p.apart(e.Zone, read.Zone)
+		}
+		if found == nil || cost < least {
+			found, least = e, cost
+		}
+	}
+	return found, least
+}
+
+// load returns the delay that an engine's running requests count for.
+func (p *Placer) load(e *Engine) time.Duration {
+	share := e.share()
+	return time.Duration(share*share*float64(crowded)) + time.Duration(float64(p.speed.Step)*(e.slow()-1)*4)
+}
+
+func (p *Placer) apart(a, b string) time.Duration {
+	if a == b {
+		return 0
+	}
+	return zoneCost
+}
+
+// share returns how much of an engine's slots or memory is taken.
+func (e *Engine) share() float64 {
+	share := 0.0
+	if e.Slots > 0 {
+		share = float64(e.Making) / float64(e.Slots)
+	}
+	if e.Memory > 0 {
+		share = max(share, float64(e.Tokens)/float64(e.Memory))
+	}
+	return share
+}
+
+func (e *Engine) crowded() bool {
+	return e.share() > fullShare
+}
+
+// best returns the engine that keeps most of the prompt, nil if none keeps any.
+func best(engines []*Engine) *Engine {
+	var found *Engine
+	for _, e := range engines {
+		if e.Held > 0 && (found == nil || e.Held > found.Held) {
+			found = e
+		}
+	}
+	return found
+}
+
+func jitter() time.Duration {
+	return rand.N(spread)
+}
--- a/core/setup/read.go
+++ b/core/setup/read.go
@@ -19,7 +19,7 @@
 	return "invalid settings in " + e.File + ":\n" + strings.Join(e.Faults, "\n")
 }
 
-// settings is *Entry or *Agent.
+// settings is a pointer to the settings of one kind of process.
 type settings interface {
 	settings()
 }
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -27,20 +27,20 @@
 		item, err := e.store.Watch(ctx, configKey, after)
 		if err != nil {
 			e.askPeers(ctx)
-			sleep(ctx, proc.Jitter(configRetry))
+			proc.Sleep(ctx, proc.Jitter(configRetry))
 			continue
 		}
 		if item.Revision == 0 {
 			continue // nothing changed while the watch waited
 		}
 		if item.Revision <= after {
-			sleep(ctx, proc.Jitter(configRetry)) // a stale reading
+			proc.Sleep(ctx, proc.Jitter(configRetry)) // a stale reading
 			continue
 		}
 		if e.apply(ctx, item.Value, e.storedPart, "store") {
 			after = item.Revision
 		} else {
-			sleep(ctx, proc.Jitter(configRetry))
+			proc.Sleep(ctx, proc.Jitter(configRetry))
 		}
 	}
 }
@@ -159,7 +159,7 @@
 		case <-e.behind:
 		}
 		e.askPeers(ctx)
-		sleep(ctx, proc.Jitter(catchUpEvery))
+		proc.Sleep(ctx, proc.Jitter(catchUpEvery))
 	}
 }
 
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -52,7 +52,7 @@
 		if changed {
 			e.setFleet(list)
 		}
-		sleep(ctx, proc.Jitter(fleetEvery))
+		proc.Sleep(ctx, proc.Jitter(fleetEvery))
 	}
 }
 
--- a/io/entry/lead.go
+++ b/io/entry/lead.go
@@ -70,7 +70,7 @@
 		if l.holds() {
 			l.serve(ctx)
 		}
-		sleep(ctx, proc.Jitter(l.pause()))
+		proc.Sleep(ctx, proc.Jitter(l.pause()))
 	}
 }
 
--- a/io/entry/submit.go
+++ b/io/entry/submit.go
@@ -13,6 +13,7 @@
 	"pimentoseam/core/conf"
 	"pimentoseam/core/parts"
 	"pimentoseam/core/report"
+	"pimentoseam/io/proc"
 	"pimentoseam/io/server"
 	"pimentoseam/io/store"
 )
@@ -173,7 +174,7 @@
 		if found := e.lookup(ctx, id, report.Unknown); found.Outcome == report.Accepted {
 			return found
 		}
-		sleep(ctx, readBackWait)
+		proc.Sleep(ctx, readBackWait)
 	}
 	return &report.Result{ID: id, Outcome: report.Unknown}
 }
--- a/io/entry/upstream.go
+++ b/io/entry/upstream.go
@@ -53,7 +53,7 @@
 		}
 		if err != nil {
 			wait = min(2*wait, u.longestWait())
-			sleep(ctx, proc.Jitter(wait))
+			proc.Sleep(ctx, proc.Jitter(wait))
 			continue
 		}
 		wait = dialMin
@@ -67,16 +67,7 @@
 		}
 		u.link.CompareAndSwap(c, nil)
 		u.entry.linked.Add(-1)
-		sleep(ctx, proc.Jitter(dialMin))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		proc.Sleep(ctx, proc.Jitter(dialMin))
 	}
 }
 
--- /dev/null
+++ b/io/follow/doc.go
@@ -0,0 +1,2 @@
+// Package follow keeps up with the keys below a prefix of the platform's store.
+package follow
--- /dev/null
+++ b/io/follow/follower.go
@@ -0,0 +1,113 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"pimentoseam/io/proc"
+	"pimentoseam/platform"
+)
+
+const (
+	watchWait = 25 * time.Second       // Of one waiting call; the store allows 30 s.
+	retryMin  = 250 * time.Millisecond // After the first failed call.
+	retryMax  = 1 * time.Second        // Keeps the store's return from being missed for long.
+)
+
+// Update is what was learned: all items below the prefix, or those that changed.
+type Update struct {
+	Whole bool
+	Items []platform.Item
+}
+
+// Follower reads a prefix once and watches it from then on.
+type Follower struct {
+	store  *platform.Store
+	log    *slog.Logger
+	prefix string
+	apply  func(Update)
+	lost   func()
+	pause  time.Duration
+	away   bool
+}
+
+// Option changes a Follower.
+type Option func(*Follower)
+
+// WithPause sets the least time between two calls, so that many changes take few calls.
+func WithPause(d time.Duration) Option {
+	return func(f *Follower) { f.pause = d }
+}
+
+// WithLost sets what is called whenever a call fails.
+func WithLost(lost func()) Option {
+	return func(f *Follower) { f.lost = lost }
+}
+
+// New returns a Follower that hands what it learns to apply, one update at a time.
+func New(store *platform.Store, log *slog.Logger, prefix string, apply func(Update), opts ...Option) *Follower {
+	f := &Follower{store: store, log: log, prefix: prefix, apply: apply, lost: func() {}}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Run follows the prefix until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	retry := retryMin
+	for ctx.Err() == nil {
+		all, err := f.store.All(ctx, f.prefix, false)
+		if err != nil {
+			f.failed(ctx, err)
+			proc.Sleep(ctx, proc.Jitter(retry))
+			retry = min(2*retry, retryMax)
+			continue
+		}
+		retry = retryMin
+		f.regained()
+		f.apply(Update{Whole: true, Items: all.Items})
+		f.watch(ctx, all.Current)
+	}
+}
+
+// watch follows the changes after a revision until a call fails.
+func (f *Follower) watch(ctx context.Context, after int64) {
+	for ctx.Err() == nil {
+		items, next, err := f.store.Watch(ctx, f.prefix, after, watchWait)
+		if err != nil {
+			f.failed(ctx, err)
+			return
+		}
+		after = next
+		if len(items) > 0 {
+			f.apply(Update{Items: items})
+		}
+		proc.Sleep(ctx, f.pause)
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	compacted := new(platform.Compacted)
+	if errors.As(err, &compacted) {
+		f.log.Info("history lost", "prefix", f.prefix)
+		return
+	}
+	f.lost()
+	if !f.away {
+		f.away = true
+		f.log.Warn("store lost", "prefix", f.prefix, "err", err)
+	}
+}
+
+func (f *Follower) regained() {
+	if f.away {
+		f.away = false
+		f.log.Info("store regained", "prefix", f.prefix)
+	}
+}
--- /dev/null
+++ b/io/gate/callers.go
@@ -0,0 +1,109 @@
+package gate
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"pimentoseam/core/call"
+	"pimentoseam/platform"
+)
+
+const (
+	// Limits until the configuration states its own, which are near these.
+	headTime  = 3 * time.Second
+	idleTime  = 20 * time.Second
+	headBytes = 32 << 10
+	bodyBytes = 8 << 20
+	// bodyTime bounds how long a body may take to arrive if the caller states no time.
+	bodyTime = 10 * time.Second
+	// plainTime is the deadline of a request if neither the caller nor the route states one.
+	plainTime = 30 * time.Second
+)
+
+// newCallers returns the server for callers.
+func newCallers(g *Gate) *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(g.serve),
+		ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headBytes,
+		ErrorLog: nil,
+	}
+}
+
+// serve takes one request from its route to its answer.
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	table := g.table.Load()
+	if table == nil || !g.fleet.Load().known {
+		g.refuse(w, r, "no configuration yet", time.Second)
+		return
+	}
+	rt := table.Find(r.Host, r.URL.Path)
+	if rt == nil {
+		g.log.Info("no route", "id", "", "host", r.Host, "path", r.URL.Path, "version", table.Version)
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	c, err := platform.ReadCall(r.Header)
+	if err != nil {
+		g.log.Info("invalid", "host", r.Host, "err", err)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	service := rt.Pick()
+	x := &exchange{
+		gate: g, w: w, r: r, call: c, route: rt, table: table, service: service,
+		budget: g.budget(service), arrived: arrived, deadline: arrived.Add(patience(c, rt.Timeout)),
+		tried: make(map[*upstream]bool),
+	}
+	if !x.readBody() {
+		return
+	}
+	x.run()
+}
+
+// patience returns how long a request may take, by its caller and its route.
+func patience(c *call.Call, timeout time.Duration) time.Duration {
+	d := plainTime
+	if timeout > 0 {
+		d = timeout
+	}
+	if c.Left > 0 {
+		d = min(d, c.Left)
+	}
+	return d
+}
+
+// readBody reads the request's body; it answers and returns false if that can't be done.
+func (x *exchange) readBody() bool {
+	if x.r.ContentLength == 0 {
+		return true
+	}
+	limit := x.table.Limits.Body
+	if limit <= 0 {
+		limit = bodyBytes
+	}
+	control := http.NewResponseController(x.w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		x.gate.log.Error("no read deadline", "id", x.call.ID, "err", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if e := control.SetReadDeadline(time.Time{}); e != nil {
+		x.gate.log.Error("no read deadline", "id", x.call.ID, "err", e)
+	}
+	large := new(http.MaxBytesError)
+	switch {
+	case err == nil:
+		x.body = body
+		return true
+	case errors.As(err, &large):
+		x.gate.log.Info("body too large", "id", x.call.ID, "limit", limit)
+		x.w.WriteHeader(http.StatusRequestEntityTooLarge)
+	default:
+		x.gate.log.Info("body not read", "id", x.call.ID, "err", err)
+		x.w.Header().Set("Connection", "close")
+		x.w.WriteHeader(http.StatusRequestTimeout)
+	}
+	return false
+}
--- /dev/null
+++ b/io/gate/exchange.go
@@ -0,0 +1,254 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pimentoseam/core/budget"
+	"pimentoseam/core/call"
+	"pimentoseam/core/route"
+	"pimentoseam/io/outlet"
+	"pimentoseam/platform"
+)
+
+const (
+	// mostRejects bounds the upstreams that are asked in turn while none runs the request.
+	mostRejects = 3
+	// answerBuffer is how much of an answer is read before any of it is passed on, so that one that
+	// breaks off can be replaced.
+	answerBuffer = 256 << 10
+	// leastLeft is the time below which a request is not sent again; no upstream answers in it.
+	leastLeft = 5 * time.Millisecond
+)
+
+// exchange is one request of a caller on its way to an answer.
+type exchange struct {
+	gate     *Gate
+	w        http.ResponseWriter
+	r        *http.Request
+	call     *call.Call
+	route    *route.Route
+	table    *route.Table
+	service  string
+	budget   *budget.Budget
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+
+	sent     bool               // The send that is no repeat has been made.
+	prompted bool               // The first processing of the prompt, which is no repeat either, has been asked for.
+	arrivals int                // Sends that reached an upstream.
+	ran      int                // Upstreams that may have run it.
+	rejects  int                // Upstreams that did not run it.
+	tried    map[*upstream]bool // That are not to be tried again.
+	begun    bool               // The answer's head has been passed on.
+	last     string             // Id of the newest stream event that was passed on.
+	pieces   int                // Events that were passed on.
+}
+
+// result is how one attempt at an upstream ended.
+type result string
+
+const (
+	done      result = "done"      // The caller has its answer.
+	notRun    result = "not run"   // It did not run and will not.
+	maybeRun  result = "maybe run" // It may have run; the caller has no whole answer.
+	abandoned result = "abandoned" // The caller has gone or the time is up.
+)
+
+// run answers the request.
+func (x *exchange) run() {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.last = x.call.Last
+	x.budget.First()
+	service := x.table.Services[x.service]
+	var end result
+	if service != nil && service.Engine != nil {
+		end = x.runModel(ctx, service)
+	} else {
+		end = x.runPlain(ctx)
+	}
+	if end != done {
+		x.fail(ctx, end)
+	}
+}
+
+// fail gives the final answer of a request that got none.
+func (x *exchange) fail(ctx context.Context, end result) {
+	log := x.gate.log.With("id", x.call.ID, "route", x.route.Name, "service", x.service, "end", string(end),
+		"arrivals", x.arrivals, "ran", x.ran, "rejects", x.rejects, "took", time.Since(x.arrived))
+	if x.r.Context().Err() != nil {
+		log.Info("caller left")
+		panic(http.ErrAbortHandler)
+	}
+	if x.begun {
+		log.Warn("answer broken off", "events", x.pieces)
+		panic(http.ErrAbortHandler)
+	}
+	if x.ran > 0 {
+		code := http.StatusBadGateway
+		if ctx.Err() != nil {
+			code = http.StatusGatewayTimeout
+		}
+		log.Warn("outcome unknown", "status", code)
+		x.w.WriteHeader(code)
+		return
+	}
+	after := x.comeBack()
+	log.Warn("refused", "after", after)
+	setRetry(x.w, after)
+	x.w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+const (
+	// Callers come back within this span, spread so that they do not return together.
+	backMin = 80 * time.Millisecond
+	backMax = 400 * time.Millisecond
+)
+
+// comeBack returns when the caller of a request that was not run may try again.
+func (x *exchange) comeBack() time.Duration {
+	return backMin + rand.N(backMax-backMin)
+}
+
+func setRetry(w http.ResponseWriter, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
+// refuse answers a request that is not even looked at.
+func (g *Gate) refuse(w http.ResponseWriter, r *http.Request, why string, after time.Duration) {
+	g.log.Warn("refused", "id", platform.ID(r.Header), "why", why, "after", after)
+	setRetry(w, after)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// permit reports whether the request may be sent to an upstream; only the first send is not a repeat.
+func (x *exchange) permit() bool {
+	if !x.sent {
+		x.sent = true
+		return true
+	}
+	return x.budget.Repeat()
+}
+
+// again reports whether a request whose last send ended this way may be sent once more.
+func (x *exchange) again(ctx context.Context, end result) bool {
+	if ctx.Err() != nil || time.Until(x.deadline) < leastLeft {
+		return false
+	}
+	switch end {
+	case notRun:
+		return x.rejects < mostRejects
+	case maybeRun:
+		return x.route.Repeatable() && x.ran < x.route.Attempts
+	}
+	return false
+}
+
+// runPlain sends the request to upstreams of a plain service until one answers.
+func (x *exchange) runPlain(ctx context.Context) result {
+	end := notRun
+	for {
+		u := x.gate.pickPlain(x.service, x.tried)
+		if u == nil || !x.permit() {
+			return end
+		}
+		x.tried[u] = true
+		end = x.send(ctx, u, &call.Send{Priority: -1, Last: x.last})
+		if !x.again(ctx, end) {
+			return end
+		}
+	}
+}
+
+// send makes one attempt at an upstream and passes its answer on.
+func (x *exchange) send(ctx context.Context, u *upstream, s *call.Send) result {
+	u.running.Add(1)
+	defer u.running.Add(-1)
+	answer, end := x.ask(ctx, u, s)
+	if answer == nil {
+		return end
+	}
+	defer answer.Close()
+	return x.relay(ctx, u, answer)
+}
+
+// ask sends the request to an upstream and returns its answer once it says that it ran.
+func (x *exchange) ask(ctx context.Context, u *upstream, s *call.Send) (*outlet.Answer, result) {
+	info := u.info.Load()
+	s.Instance = info.ID
+	s.Left = time.Until(x.deadline)
+	if !u.breaker.Allow() {
+		x.rejects++
+		return nil, notRun
+	}
+	limit := 0
+	if service := x.table.Services[x.service]; service != nil {
+		limit = service.Conns / 2
+	}
+	answer, err := x.gate.outlet.Do(ctx, info.Addr, &outlet.Request{
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		Header: platform.Request(x.r.Header, s), Mine: x.mine,
+	}, limit)
+	if err != nil {
+		return nil, x.unanswered(ctx, u, err)
+	}
+	x.arrivals++
+	reply := platform.ReadReply(answer.StatusCode, answer.Header)
+	if reply.NotRun {
+		x.rejects++
+		u.breaker.Success()
+		if answer.StatusCode == http.StatusMisdirectedRequest {
+			u.moved.Store(true)
+		}
+		x.gate.log.Info("not run", "id", x.call.ID, "upstream", info.ID, "status", answer.StatusCode, "left", s.Left)
+		x.drain(answer)
+		return nil, notRun
+	}
+	return answer, done
+}
+
+// mine reports whether an answer belongs to this request.
+func (x *exchange) mine(status int, h http.Header) bool {
+	id := platform.ReadReply(status, h).ID
+	return id == x.call.ID || (id == "" && status >= http.StatusBadRequest)
+}
+
+// drain reads the rest of a small answer, so that its connection can be kept.
+func (x *exchange) drain(answer *outlet.Answer) {
+	if _, err := answer.Whole(answerBuffer); err != nil {
+		x.gate.log.Debug("answer not read", "id", x.call.ID, "err", err)
+	}
+	answer.Close()
+}
+
+// unanswered returns what a failed send means.
+func (x *exchange) unanswered(ctx context.Context, u *upstream, err error) result {
+	id := u.info.Load().ID
+	x.gate.log.Warn("no answer", "id", x.call.ID, "upstream", id, "err", err, "took", time.Since(x.arrived))
+	var broken *outlet.Broken
+	isBroken := errors.As(err, &broken)
+	if isBroken {
+		x.arrivals++
+		x.ran++
+	}
+	if ctx.Err() != nil {
+		u.breaker.Cancel()
+		return abandoned
+	}
+	var full *outlet.Full
+	if errors.As(err, &full) {
+		u.breaker.Cancel()
+	} else {
+		u.breaker.Failure()
+	}
+	if isBroken {
+		return maybeRun
+	}
+	return notRun
+}
--- /dev/null
+++ b/io/gate/upstream.go
@@ -0,0 +1,87 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"pimentoseam/core/health"
+	"pimentoseam/core/member"
+)
+
+// upstream is what this gate knows of one replica.
+type upstream struct {
+	info    atomic.Pointer[member.Upstream]
+	breaker *health.Breaker
+	moved   atomic.Bool  // Another replica answered at its address.
+	running atomic.Int64 // Requests of this gate in progress.
+	waiting atomic.Int64 // Nanoseconds of work of prompts without a first token.
+	making  atomic.Int64 // Requests of this gate that generate output.
+	tokens  atomic.Int64 // KV cache that those hold.
+}
+
+func newUpstream() *upstream {
+	return &upstream{breaker: health.New()}
+}
+
+// usable reports whether the upstream may get a request now.
+func (u *upstream) usable() bool {
+	return !u.moved.Load() && !u.breaker.Open()
+}
+
+// pickPlain chooses between two random upstreams of a plain service that were not tried.
+// Fewer running requests win, and among equals the gate's own availability zone.
+func (g *Gate) pickPlain(service string, tried map[*upstream]bool) *upstream {
+	var free []*upstream
+	for _, u := range g.fleet.Load().services[service] {
+		if u.usable() && !tried[u] {
+			free = append(free, u)
+		}
+	}
+	if len(free) == 0 {
+		return nil
+	}
+	rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	best := free[0]
+	for _, u := range free[1:] {
+		if g.cost(u) < g.cost(best) {
+			best = u
+		}
+	}
+	return best
+}
+
+// zonePenalty is the load in requests that the way to another availability zone counts for.
+const zonePenalty = 0.6
+
+func (g *Gate) cost(u *upstream) float64 {
+	cost := float64(u.running.Load())
+	if u.info.Load().Zone != g.set.Zone {
+		cost += zonePenalty
+	}
+	return cost
+}
+
+// work counts a prompt's work at an upstream and returns a function that takes it back.
+func (u *upstream) work(d time.Duration) func() {
+	u.waiting.Add(int64(d))
+	var done atomic.Bool
+	return func() {
+		if done.CompareAndSwap(false, true) {
+			u.waiting.Add(-int64(d))
+		}
+	}
+}
+
+// make counts an output at an upstream and returns a function that takes it back.
+func (u *upstream) make(tokens int) func() {
+	u.making.Add(1)
+	u.tokens.Add(int64(tokens))
+	var done atomic.Bool
+	return func() {
+		if done.CompareAndSwap(false, true) {
+			u.making.Add(-1)
+			u.tokens.Add(-int64(tokens))
+		}
+	}
+}
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -31,6 +31,19 @@
 	return d/2 + rand.N(d/2)
 }
 
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Control serves a process's events and metrics to holders of the secret.
 type Control struct {
 	secret string
--- a/main.go
+++ b/main.go
@@ -1,6 +1,10 @@
 // Command pimentoseam serves model engines and plain services to callers.
 package main
 
+// Links the program against the C library, as the platform asks.
+
+import "C"
+
 import (
 	"os"
 
