gate: share loads, configuration and members between entries

Ruled out: a slow watch loop (its pause is 50 ms) and lost puts (the items were read at once after the cut). Change: beats in datagrams carry the version, the list's revision and the load of each upstream; who is behind fetches from the sender; watches wait for a time that grows with the entries; the engine for the output is chosen after the prompt has been processed; SIGHUP is handled.

--- /dev/null
+++ b/core/beat/doc.go
@@ -0,0 +1,2 @@
+// Package beat defines what entries tell each other many times a second.
+package beat
--- a/core/member/set.go
+++ b/core/member/set.go
@@ -51,11 +51,15 @@
 )
 
 // Set follows the platform's list through its outages.
-// An entry that is removed around an outage of the list may only have lapsed, so it is kept
-// for a moment; any other removal takes effect at once.
+// An upstream that is removed without having left may only have lapsed with the list's own outage. It is
+// kept for a moment, and used meanwhile if there was an outage or if most of its service went with it.
+//
+// Changes may be told more than once and in any order, as by the list itself and by other entries:
+// each carries the list's revision, and one that is not newer than what is known of its id does nothing.
 type Set struct {
 	entries map[string]*entry
-	outage  time.Time // When the list was last found to be unavailable.
+	changed map[string]int64 // Revision of the newest change by id, of removed ones too.
+	outage  time.Time        // When the list was last found to be unavailable.
 }
 
 type entry struct {
@@ -65,29 +69,51 @@
 
 // New returns an empty Set.
 func New() *Set {
-	return &Set{entries: make(map[string]*entry)}
+	return &Set{entries: make(map[string]*entry), changed: make(map[string]int64)}
 }
 
-// Put adds or replaces an upstream.
-func (s *Set) Put(u *Upstream) {
+// Put adds or replaces an upstream; it reports whether the revision was news.
+func (s *Set) Put(u *Upstream, revision int64) bool {
+	if !s.news(u.ID, revision) {
+		return false
+	}
 	s.entries[u.ID] = &entry{upstream: u}
+	return true
 }
 
-// Remove takes out an entry; it reports whether the entry is kept for a moment.
-func (s *Set) Remove(id string) bool {
-	e, ok := s.entries[id]
-	if !ok {
+// news notes a change of an id and reports whether it is newer than what is known.
+func (s *Set) news(id string, revision int64) bool {
+	if s.changed[id] >= revision {
 		return false
 	}
-	now := time.Now()
-	if s.outage.IsZero() || now.Sub(s.outage) > returnWait || e.upstream.State != Ready {
+	s.changed[id] = revision
+	return true
+}
+
+// Removal is what became of an entry that the list no longer has.
+type Removal string
+
+// The outcomes of a removal.
+const (
+	Known Removal = "known" // It was gone already, or something newer is known.
+	Kept  Removal = "kept"  // It may only have lapsed and stays for a moment.
+	Gone  Removal = "gone"
+)
+
+// Remove takes out an entry that the list at the given revision no longer has.
+func (s *Set) Remove(id string, revision int64) Removal {
+	e, ok := s.entries[id]
+	if !s.news(id, revision) || !ok {
+		return Known
+	}
+	if e.upstream.State != Ready {
 		delete(s.entries, id)
-		return false
+		return Gone
 	}
 	if e.expires.IsZero() {
-		e.expires = now.Add(leaveWait)
+		e.expires = time.Now().Add(leaveWait)
 	}
-	return true
+	return Kept
 }
 
 // Unavailable notes that the list can't be read now.
@@ -129,9 +155,21 @@
 // Usable returns the upstreams that take new work, by service.
 func (s *Set) Usable() map[string][]*Upstream {
 	usable := make(map[string][]*Upstream)
+	removed := make(map[string][]*Upstream)
 	for _, e := range s.entries {
-		if u := e.upstream; u.State == Ready {
+		u := e.upstream
+		switch {
+		case u.State != Ready:
+		case e.expires.IsZero():
 			usable[u.Service] = append(usable[u.Service], u)
+		default:
+			removed[u.Service] = append(removed[u.Service], u)
+		}
+	}
+	outage := !s.outage.IsZero() && time.Since(s.outage) <= returnWait
+	for service, list := range removed {
+		if outage || len(list) >= len(usable[service]) {
+			usable[service] = append(usable[service], list...)
 		}
 	}
 	return usable
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -57,8 +57,12 @@
 	fetchLeast = 256
 	// fullShare is the share of slots or memory from which an engine takes no further output.
 	fullShare = 0.9
-	// crowded is the delay that a decode engine's load at its last free place counts for.
-	crowded = 300 * time.Millisecond
+	// fullCost is the delay that a decode engine's load counts for when all of its places are taken.
+	fullCost = 300 * time.Millisecond
+	// crowdedCost is added beyond fullShare, where requests wait for a place.
+	crowdedCost = time.Second
+	// slowSteps is the number of steps for which a slow engine's lag counts.
+	slowSteps = 4
 	// spread keeps entries that know the same from all choosing the same engine.
 	spread = 3 * time.Millisecond
 )
@@ -83,36 +87,41 @@
 // Choose returns the cheapest way to serve a job, and false if no engine can.
 func (p *Placer) Choose(job *Job, engines []*Engine) (Choice, bool) {
 	source := best(engines)
-	var found Choice
-	var least time.Duration
-	consider := func(c Choice, cost time.Duration) {
-		if found.Make == nil || cost < least {
-			found, least = c, cost
-		}
-	}
-	maker, making := p.maker(job, engines, nil)
+	maker, making := p.maker(job, engines, "")
 	if maker == nil {
 		return Choice{}, false
 	}
+	var found Choice
+	var least time.Duration
 	for _, e := range engines {
+		if !e.Prefill && e.crowded() && e != maker {
+			continue
+		}
 		c := p.reading(job, e, source)
-		cost := c.Delay + time.Duration(workWeight*float64(c.Work)) + p.apart(e.Zone, job.Zone) + jitter()
-		if !e.Prefill {
-			if e.crowded() {
-				continue
-			}
+		cost := time.Duration(workWeight*float64(c.Work)) + apart(e.Zone, job.Zone) + jitter()
+		if e.Prefill {
+			c.Read, c.Make = e, maker
+			c.Delay += p.speed.Move(job.Prompt, job.Bytes, job.Link, e.Zone != maker.Zone) + p.speed.Network + p.speed.Step
+			cost += making
+		} else {
 			c.Make = e
-			consider(c, cost+p.load(e))
-			continue
+			cost += p.load(e)
+		}
+		cost += c.Delay
+		if found.Make == nil || cost < least {
+			found, least = c, cost
 		}
-		c.Read, c.Make = e, maker
-		move := p.speed.Move(job.Prompt, job.Bytes, job.Link, e.Zone != maker.Zone)
-		c.Delay += move + p.speed.Network + p.speed.Step
-		consider(c, cost+move+p.speed.Network+p.speed.Step+making)
 	}
 	return found, true
 }
 
+// Maker returns the engine that generates the output after one in the zone read processed the prompt,
+// nil if there is none.
+func (p *Placer) Maker(job *Job, engines []*Engine, read string) *Engine {
+	e, _ := p.maker(job, engines, read)
+	return e
+}
+
 // reading returns the choice of e for the prompt, with the delay until it is processed.
 func (p *Placer) reading(job *Job, e, source *Engine) Choice {
 	held, fetch := e.Held, time.Duration(0)
@@ -127,20 +136,20 @@
 	return c
 }
 
-// maker returns the decode engine for an output, with what its load counts for.
-func (p *Placer) maker(job *Job, engines []*Engine, read *Engine) (*Engine, time.Duration) {
+// maker returns the engine with the least cost of generating an output, with that cost.
+func (p *Placer) maker(job *Job, engines []*Engine, read string) (*Engine, time.Duration) {
 	var found *Engine
 	var least time.Duration
 	for _, e := range engines {
 		if e.Prefill {
 			continue
 		}
-		cost := p.load(e) + e.Waiting/2 + p.apart(e.Zone, job.Zone) + jitter()
-		if e.crowded() {
-			cost += time.Second
+		cost := p.load(e) + e.Waiting/2 + apart(e.Zone, job.Zone) + jitter()
+		if read != "" {
+			cost += apart(e.Zone, read)
 		}
-		if read != nil {
-			cost += p.apart(e.Zone, read.Zone)
+		if e.crowded() {
+			cost += crowdedCost
 		}
 		if found == nil || cost < least {
 			found, least = e, cost
@@ -152,10 +161,11 @@
 // load returns the delay that an engine's running requests count for.
 func (p *Placer) load(e *Engine) time.Duration {
 	share := e.share()
-	return time.Duration(share*share*float64(crowded)) + time.Duration(float64(p.speed.Step)*(e.slow()-1)*4)
+	return time.Duration(share*share*float64(fullCost)) + time.Duration(float64(p.speed.Step)*(e.slow()-1)*slowSteps)
 }
 
-func (p *Placer) apart(a, b string) time.Duration {
+// apart returns what a send between two availability zones counts for.
+func apart(a, b string) time.Duration {
 	if a == b {
 		return 0
 	}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -11,15 +11,16 @@
 )
 
 const (
-	watchWait = 25 * time.Second       // Of one waiting call; the store allows 30 s.
+	watchMost = 25 * time.Second       // Of one waiting call; the store allows 30 s.
 	retryMin  = 250 * time.Millisecond // After the first failed call.
 	retryMax  = 1 * time.Second        // Keeps the store's return from being missed for long.
 )
 
 // Update is what was learned: all items below the prefix, or those that changed.
 type Update struct {
-	Whole bool
-	Items []platform.Item
+	Whole    bool
+	Items    []platform.Item
+	Revision int64 // Of the store when it answered.
 }
 
 // Follower reads a prefix once and watches it from then on.
@@ -30,6 +31,7 @@
 	apply  func(Update)
 	lost   func()
 	pause  time.Duration
+	wait   func() time.Duration
 	away   bool
 }
 
@@ -41,6 +43,12 @@
 	return func(f *Follower) { f.pause = d }
 }
 
+// WithWait sets how long a call waits for changes; it is asked before each call.
+// A watch can fall silent, so this also bounds how late a change is seen.
+func WithWait(wait func() time.Duration) Option {
+	return func(f *Follower) { f.wait = wait }
+}
+
 // WithLost sets what is called whenever a call fails.
 func WithLost(lost func()) Option {
 	return func(f *Follower) { f.lost = lost }
@@ -48,7 +56,7 @@
 
 // New returns a Follower that hands what it learns to apply, one update at a time.
 func New(store *platform.Store, log *slog.Logger, prefix string, apply func(Update), opts ...Option) *Follower {
-	f := &Follower{store: store, log: log, prefix: prefix, apply: apply, lost: func() {}}
+	f := &Follower{store: store, log: log, prefix: prefix, apply: apply, lost: func() {}, wait: func() time.Duration { return watchMost }}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -68,7 +76,7 @@
 		}
 		retry = retryMin
 		f.regained()
-		f.apply(Update{Whole: true, Items: all.Items})
+		f.apply(Update{Whole: true, Items: all.Items, Revision: all.Current})
 		f.watch(ctx, all.Current)
 	}
 }
@@ -76,14 +84,14 @@
 // watch follows the changes after a revision until a call fails.
 func (f *Follower) watch(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
-		items, next, err := f.store.Watch(ctx, f.prefix, after, watchWait)
+		items, next, err := f.store.Watch(ctx, f.prefix, after, min(f.wait(), watchMost))
 		if err != nil {
 			f.failed(ctx, err)
 			return
 		}
 		after = next
 		if len(items) > 0 {
-			f.apply(Update{Items: items})
+			f.apply(Update{Items: items, Revision: next})
 		}
 		proc.Sleep(ctx, f.pause)
 	}
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -34,11 +34,11 @@
 // serve takes one request from its route to its answer.
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	table := g.table.Load()
-	if table == nil || !g.fleet.Load().known {
+	if !g.serves() {
 		g.refuse(w, r, "no configuration yet", time.Second)
 		return
 	}
+	table := g.config.Load().table
 	rt := table.Find(r.Host, r.URL.Path)
 	if rt == nil {
 		g.log.Info("no route", "id", "", "host", r.Host, "path", r.URL.Path, "version", table.Version)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -7,17 +7,20 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"pimentoseam/core/beat"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/cached"
 	"pimentoseam/core/member"
 	"pimentoseam/core/place"
-	"pimentoseam/core/route"
 	"pimentoseam/core/setup"
 	"pimentoseam/io/follow"
+	"pimentoseam/io/gossip"
 	"pimentoseam/io/logbuf"
 	"pimentoseam/io/outlet"
 	"pimentoseam/io/proc"
@@ -46,14 +49,24 @@
 	outlet  *outlet.Outlet
 	placer  *place.Placer
 	cached  *cached.Map
-	table   atomic.Pointer[route.Table]
+	gossip  *gossip.Gossip
+	peer    *http.Client
+	config  atomic.Pointer[document]
 	fleet   atomic.Pointer[fleet]
+	others  atomic.Pointer[others]
 	leaving atomic.Bool
 	began   time.Time
+	beats   atomic.Uint64
+	behind  chan *beat.Beat
+
+	prompted atomic.Uint64 // Milliseconds of prefill work that callers asked for.
+	output   atomic.Uint64 // Tokens that callers asked for.
 
 	mu        sync.Mutex
 	members   *member.Set
+	listed    listed
 	known     bool                 // The list of upstreams has been read.
+	parts     []beat.Part          // For the next beat.
 	upstreams map[string]*upstream // By id; only the follower of members changes it.
 	budgets   map[string]*budget.Budget
 }
@@ -81,8 +94,11 @@
 		set: set, lines: lines, log: slog.New(lines).With("process", set.Name),
 		store: platform.NewStore(set.Store), outlet: outlet.New(), placer: place.New(), cached: cached.New(),
 		members: member.New(), upstreams: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
-		began: time.Now(),
+		listed: listed{Items: make(map[string]platform.Item)},
+		began:  time.Now(), behind: make(chan *beat.Beat, 1),
+		peer: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 	}
+	g.gossip = gossip.New(set.Peer, g.log, g.beat, g.hear)
 	g.fleet.Store(&fleet{})
 	return g
 }
@@ -98,6 +114,10 @@
 	if err != nil {
 		return &Error{Addr: g.set.Listen.String(), Cause: err}
 	}
+	share, err := net.Listen("tcp", g.set.Share.String())
+	if err != nil {
+		return &Error{Addr: g.set.Share.String(), Cause: err}
+	}
 	g.log.Info("started", "listen", g.set.Listen, "zone", g.set.Zone, "first", g.set.First)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -105,10 +125,21 @@
 	go g.listen(probes, ready)
 	callers := newCallers(g)
 	go g.listen(callers, front)
-	go follow.New(g.store, g.log, platform.ConfigKey, g.applyConfig, follow.WithPause(configPause)).Run(work)
+	shares := &http.Server{Handler: g.shareHandler(), ReadHeaderTimeout: time.Second}
+	go g.listen(shares, share)
+	go func() {
+		if err := g.gossip.Run(work); err != nil {
+			g.log.Error("no beats", "err", err)
+		}
+	}()
+	go g.register(work)
+	go g.catchUp(work)
+	go follow.New(g.store, g.log, platform.ConfigKey, g.applyConfig,
+		follow.WithPause(configPause), follow.WithWait(g.watchWait)).Run(work)
 	go follow.New(g.store, g.log, platform.MemberPrefix, g.applyMembers,
-		follow.WithPause(memberPause), follow.WithLost(g.membersLost)).Run(work)
+		follow.WithPause(memberPause), follow.WithWait(g.watchWait), follow.WithLost(g.membersLost)).Run(work)
 	go g.sweep(work)
+	go g.reload(work)
 	<-ctx.Done()
 	g.stop(callers)
 	return nil
@@ -133,6 +164,22 @@
 	g.log.Info("stopped", "after", time.Since(began), "err", err)
 }
 
+// reload notes that the settings file has changed; what a running process uses of it does not change,
+// so the new settings take effect with its next start.
+func (g *Gate) reload(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			g.log.Info("reload", "changed", "nothing in use")
+		}
+	}
+}
+
 // serveReady tells the balancer whether this entry takes new connections.
 func (g *Gate) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -147,7 +194,7 @@
 
 // serves reports whether the gate knows a configuration and the upstreams.
 func (g *Gate) serves() bool {
-	return g.table.Load() != nil && g.fleet.Load().known
+	return g.config.Load() != nil && g.fleet.Load().known
 }
 
 // sweep closes idle connections that upstreams have closed and drops upstreams that did not come back.
@@ -166,16 +213,20 @@
 	b, ok := g.budgets[service]
 	if !ok {
 		b = budget.New(g.set.Ratio, g.set.Slack, g.set.Window.D())
-		b.Share(g.entries())
 		g.budgets[service] = b
 	}
+	b.Share(g.entries())
 	return b
 }
 
-// entries returns how many entries share the budgets.
-func (g *Gate) entries() int {
-	return assumedEntries
-}
+const (
+	// watchEach is the mean time between two watches of all entries together: one of them sees a
+	// change in about this time though watches have fallen silent, and its beats tell the others.
+	watchEach = 700 * time.Millisecond
+	watchMin  = 1 * time.Second
+)
 
-// assumedEntries divides the budgets while the other entries are not known.
-const assumedEntries = 8
+// watchWait returns how long this entry's next watch waits.
+func (g *Gate) watchWait() time.Duration {
+	return watchMin + proc.Jitter(2*watchEach*time.Duration(g.entries()-1))
+}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -52,7 +52,30 @@
 
 // place chooses engines; the map returned has the upstream of each engine by its id.
 func (x *exchange) place(service *route.Service, chains []cached.Chain) (place.Choice, map[string]*upstream, bool) {
-	kept := x.gate.cached.Held(chains, x.call.Shared())
+	engines, byID := x.engines(service, x.gate.cached.Held(chains, x.call.Shared()))
+	choice, ok := x.gate.placer.Choose(x.job(service), engines)
+	return choice, byID, ok
+}
+
+// maker chooses the engine for the output of a prompt that was processed in the zone read.
+func (x *exchange) maker(service *route.Service, read string) *upstream {
+	engines, byID := x.engines(service, nil)
+	if e := x.gate.placer.Maker(x.job(service), engines, read); e != nil {
+		return byID[e.ID]
+	}
+	return nil
+}
+
+func (x *exchange) job(service *route.Service) *place.Job {
+	return &place.Job{
+		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set.Zone, Target: x.route.Target,
+		Bytes: service.Engine.Bytes, Link: service.Engine.Link,
+	}
+}
+
+// engines returns the engines that may get the request, with their upstreams by id.
+func (x *exchange) engines(service *route.Service, kept map[string]int) ([]*place.Engine, map[string]*upstream) {
+	elsewhere := x.gate.elsewhere()
 	byID := make(map[string]*upstream)
 	var engines []*place.Engine
 	for _, u := range x.gate.fleet.Load().services[x.service] {
@@ -61,17 +84,15 @@
 		}
 		info := u.info.Load()
 		byID[info.ID] = u
+		more := elsewhere[u.key]
 		engines = append(engines, &place.Engine{
 			ID: info.ID, Zone: info.Zone, Prefill: info.Role == member.Prefill,
-			Waiting: time.Duration(u.waiting.Load()), Making: int(u.making.Load()), Tokens: int(u.tokens.Load()),
+			Waiting: time.Duration(u.waiting.Load()) + time.Duration(more.Waiting)*waitingUnit,
+			Making:  int(u.making.Load()) + int(more.Making), Tokens: int(u.tokens.Load()) + int(more.Tokens),
 			Slots: service.Engine.Slots, Memory: service.Engine.Capacity, Held: kept[info.ID],
 		})
 	}
-	choice, ok := x.gate.placer.Choose(&place.Job{
-		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set.Zone, Target: x.route.Target,
-		Bytes: service.Engine.Bytes, Link: service.Engine.Link,
-	}, engines)
-	return choice, byID, ok
+	return engines, byID
 }
 
 // generate carries out a choice.
@@ -88,16 +109,21 @@
 		if end != done {
 			return end
 		}
-		x.gate.cached.Note(c.Read.ID, chains)
+		x.gate.noteParts(engines[c.Read.ID], c.Read.ID, chains)
 		s.Source = handle
+		// Engines leave and fill up while a prompt is processed.
+		if maker = x.maker(service, c.Read.Zone); maker == nil {
+			return notRun
+		}
 	}
+	id := maker.info.Load().ID
 	if !x.permit() {
 		return notRun
 	}
 	defer maker.make(x.call.Prompt + x.call.Output)()
 	end := x.send(ctx, maker, s)
 	if end == done {
-		x.gate.cached.Note(c.Make.ID, chains)
+		x.gate.noteParts(maker, id, chains)
 	} else {
 		x.tried[maker] = true
 	}
--- /dev/null
+++ b/io/gate/peers.go
@@ -0,0 +1,281 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pimentoseam/core/beat"
+	"pimentoseam/core/cached"
+	"pimentoseam/io/follow"
+	"pimentoseam/io/proc"
+	"pimentoseam/platform"
+)
+
+const (
+	entryPrefix = "entries/" // Store keys of the entries; an entry's name follows.
+	// entryTTL ends the key of an entry that is gone; the store allows ten minutes.
+	entryTTL     = 5 * time.Minute
+	entryRenew   = 2 * time.Minute
+	registerWait = 2 * time.Second // Between tries to register.
+	shareTimeout = 800 * time.Millisecond
+	sharePause   = 100 * time.Millisecond // Between fetches from other entries.
+	mostShare    = 16 << 20               // Bytes.
+	// partsKept bounds what one beat tells of processed prompts.
+	partsKept = 200
+	// seenFor is how long the sum of the other entries' loads is used before it is made anew.
+	seenFor = 20 * time.Millisecond
+)
+
+// presence is the value of an entry's key.
+type presence struct {
+	Peer netip.AddrPort `json:"peer"`
+}
+
+// register makes this entry known to the others and learns of them.
+func (g *Gate) register(ctx context.Context) {
+	for _, seed := range strings.Split(g.set.Seeds, ",") {
+		if addr, err := netip.ParseAddrPort(seed); err == nil {
+			g.gossip.Add(netip.AddrPortFrom(addr.Addr(), g.set.Peer.Port()))
+		}
+	}
+	value, err := json.Marshal(presence{Peer: g.set.Peer})
+	if err != nil {
+		panic(err) // an address always encodes
+	}
+	var lease int64
+	for ctx.Err() == nil {
+		wait := entryRenew
+		if lease == 0 {
+			lease, err = g.announce(ctx, value)
+		} else {
+			err = g.store.Renew(ctx, lease)
+		}
+		if err != nil {
+			g.log.Warn("not registered", "err", err)
+			lease, wait = 0, registerWait
+		}
+		proc.Sleep(ctx, proc.Jitter(wait))
+	}
+}
+
+// announce writes this entry's key under a new lease and reads those of the others.
+func (g *Gate) announce(ctx context.Context, value []byte) (int64, error) {
+	lease, _, err := g.store.Grant(ctx, entryTTL)
+	if err != nil {
+		return 0, err
+	}
+	put := platform.Put{Key: entryPrefix + g.set.Name, Value: value, Lease: lease}
+	if _, _, err := g.store.Swap(ctx, nil, []platform.Put{put}, nil); err != nil {
+		return 0, err
+	}
+	page, err := g.store.All(ctx, entryPrefix, false)
+	if err != nil {
+		return 0, err
+	}
+	for _, item := range page.Items {
+		var p presence
+		if err := json.Unmarshal(item.Value, &p); err != nil {
+			g.log.Warn("entry not understood", "key", item.Key, "err", err)
+			continue
+		}
+		g.gossip.Add(p.Peer)
+	}
+	return lease, nil
+}
+
+// beat returns this entry's present state for the others.
+func (g *Gate) beat() *beat.Beat {
+	b := &beat.Beat{
+		Name: g.set.Name, Start: g.began.UnixNano(), Seq: g.beats.Add(1), Config: g.version(), Share: g.set.Share.String(),
+		Demand: beat.Demand{Prompt: g.prompted.Load(), Output: g.output.Load()},
+	}
+	for _, list := range g.fleet.Load().services {
+		for _, u := range list {
+			if l, busy := u.load(); busy {
+				b.Loads = append(b.Loads, l)
+			}
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.Members = g.listed.Revision
+	b.Parts, g.parts = g.parts, nil
+	return b
+}
+
+// noteParts records that an upstream has processed chains, here and for the others.
+func (g *Gate) noteParts(u *upstream, id string, chains []cached.Chain) {
+	g.cached.Note(id, chains)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range chains {
+		if len(g.parts) < partsKept {
+			g.parts = append(g.parts, beat.Part{Key: u.key, Chain: uint64(c)})
+		}
+	}
+}
+
+// hear takes over what another entry tells.
+func (g *Gate) hear(b *beat.Beat) {
+	f := g.fleet.Load()
+	for _, p := range b.Parts {
+		if u := f.byKey[p.Key]; u != nil {
+			g.cached.Note(u.info.Load().ID, []cached.Chain{cached.Chain(p.Chain)})
+		}
+	}
+	g.mu.Lock()
+	behind := b.Members > g.listed.Revision || b.Config > g.version()
+	g.mu.Unlock()
+	if !behind {
+		return
+	}
+	select {
+	case g.behind <- b:
+	default:
+	}
+}
+
+// catchUp asks other entries for what they know and this one doesn't.
+func (g *Gate) catchUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-g.behind:
+			if b.Config > g.version() {
+				g.fetchConfig(ctx, b)
+			}
+			g.mu.Lock()
+			older := b.Members > g.listed.Revision
+			g.mu.Unlock()
+			if older {
+				g.fetchMembers(ctx, b)
+			}
+		}
+		proc.Sleep(ctx, sharePause)
+	}
+}
+
+func (g *Gate) fetchConfig(ctx context.Context, b *beat.Beat) {
+	var item platform.Item
+	if g.fetch(ctx, b, "/config", &item) {
+		g.adopt(item, b.Name)
+	}
+}
+
+func (g *Gate) fetchMembers(ctx context.Context, b *beat.Beat) {
+	var l listed
+	if !g.fetch(ctx, b, "/members", &l) {
+		return
+	}
+	u := follow.Update{Whole: true, Revision: l.Revision}
+	for _, item := range l.Items {
+		u.Items = append(u.Items, item)
+	}
+	g.applyMembers(u)
+	g.log.Info("members", "revision", l.Revision, "from", b.Name)
+}
+
+// fetch asks the entry that sent b; it logs and returns false if there is no usable answer.
+func (g *Gate) fetch(ctx context.Context, b *beat.Beat, path string, into any) bool {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Share+path, nil)
+	if err != nil {
+		g.log.Warn("not fetched", "from", b.Name, "path", path, "err", err)
+		return false
+	}
+	answer, err := g.peer.Do(req)
+	if err != nil {
+		g.log.Warn("not fetched", "from", b.Name, "path", path, "err", err)
+		return false
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, mostShare))
+	if err == nil && answer.StatusCode == http.StatusOK {
+		err = cbor.Unmarshal(data, into)
+	}
+	if err != nil || answer.StatusCode != http.StatusOK {
+		g.log.Warn("not fetched", "from", b.Name, "path", path, "status", answer.StatusCode, "err", err)
+		return false
+	}
+	return true
+}
+
+// shareHandler answers other entries.
+func (g *Gate) shareHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /config", func(w http.ResponseWriter, _ *http.Request) {
+		d := g.config.Load()
+		if d == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		g.write(w, d.item)
+	})
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) {
+		g.mu.Lock()
+		data, err := cbor.Marshal(g.listed)
+		g.mu.Unlock()
+		g.writeBytes(w, data, err)
+	})
+	return mux
+}
+
+func (g *Gate) write(w http.ResponseWriter, v any) {
+	data, err := cbor.Marshal(v)
+	g.writeBytes(w, data, err)
+}
+
+func (g *Gate) writeBytes(w http.ResponseWriter, data []byte, err error) {
+	if err != nil {
+		g.log.Error("not shared", "err", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	if _, err := w.Write(data); err != nil {
+		g.log.Info("not shared", "err", err)
+	}
+}
+
+// others is the load of all other entries by upstream key.
+type others struct {
+	at   time.Time
+	load map[uint32]beat.Load
+}
+
+// elsewhere returns the load of the other entries that were heard lately.
+func (g *Gate) elsewhere() map[uint32]beat.Load {
+	if o := g.others.Load(); o != nil && time.Since(o.at) < seenFor {
+		return o.load
+	}
+	sum := make(map[uint32]beat.Load)
+	for _, p := range g.gossip.Peers() {
+		if !p.Alive() {
+			continue
+		}
+		for _, l := range p.Beat.Loads {
+			s := sum[l.Key]
+			s.Running += l.Running
+			s.Making += l.Making
+			s.Tokens += l.Tokens
+			s.Waiting += l.Waiting
+			sum[l.Key] = s
+		}
+	}
+	g.others.Store(&others{at: time.Now(), load: sum})
+	return sum
+}
+
+// entries returns how many entries share the budgets, those lost a short while ago included.
+func (g *Gate) entries() int {
+	return 1 + len(g.gossip.Peers())
+}
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -5,12 +5,14 @@
 	"sync/atomic"
 	"time"
 
+	"pimentoseam/core/beat"
 	"pimentoseam/core/health"
 	"pimentoseam/core/member"
 )
 
 // upstream is what this gate knows of one replica.
 type upstream struct {
+	key     uint32 // Of its id in beats.
 	info    atomic.Pointer[member.Upstream]
 	breaker *health.Breaker
 	moved   atomic.Bool  // Another replica answered at its address.
@@ -20,17 +22,29 @@
 	tokens  atomic.Int64 // KV cache that those hold.
 }
 
-func newUpstream() *upstream {
-	return &upstream{breaker: health.New()}
+func newUpstream(key uint32) *upstream {
+	return &upstream{key: key, breaker: health.New()}
 }
 
+// load returns what this gate has in progress at the upstream and whether it is anything.
+func (u *upstream) load() (beat.Load, bool) {
+	l := beat.Load{
+		Key: u.key, Running: uint32(u.running.Load()), Making: uint32(u.making.Load()), Tokens: uint32(u.tokens.Load()),
+		Waiting: uint32(time.Duration(u.waiting.Load()) / waitingUnit),
+	}
+	return l, l.Running > 0 || l.Waiting > 0
+}
+
+// waitingUnit is the unit of work in beats.
+const waitingUnit = 100 * time.Microsecond
+
 // usable reports whether the upstream may get a request now.
 func (u *upstream) usable() bool {
 	return !u.moved.Load() && !u.breaker.Open()
 }
 
-// pickPlain chooses between two random upstreams of a plain service that were not tried.
-// Fewer running requests win, and among equals the gate's own availability zone.
+// pickPlain chooses the upstream of a plain service that has the fewest requests in progress, in the
+// gate's own availability zone among equals, and was not tried.
 func (g *Gate) pickPlain(service string, tried map[*upstream]bool) *upstream {
 	var free []*upstream
 	for _, u := range g.fleet.Load().services[service] {
@@ -42,9 +56,10 @@
 		return nil
 	}
 	rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	elsewhere := g.elsewhere()
 	best := free[0]
 	for _, u := range free[1:] {
-		if g.cost(u) < g.cost(best) {
+		if g.cost(u, elsewhere) < g.cost(best, elsewhere) {
 			best = u
 		}
 	}
@@ -54,8 +69,8 @@
 // zonePenalty is the load in requests that the way to another availability zone counts for.
 const zonePenalty = 0.6
 
-func (g *Gate) cost(u *upstream) float64 {
-	cost := float64(u.running.Load())
+func (g *Gate) cost(u *upstream, elsewhere map[uint32]beat.Load) float64 {
+	cost := float64(u.running.Load()) + float64(elsewhere[u.key].Running)
 	if u.info.Load().Zone != g.set.Zone {
 		cost += zonePenalty
 	}
--- /dev/null
+++ b/io/gossip/doc.go
@@ -0,0 +1,5 @@
+// Package gossip carries beats between entries in datagrams.
+//
+// A beat replaces the one before, so a lost datagram needs no repeat and there is no connection
+// that could go silent.
+package gossip
