--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -17,6 +17,7 @@
 	Loads   []Load
 	Parts   []Part
 	Demand  Demand
+	Away    []uint32 // Keys of the engines that are changing their role, told by the lead.
 }
 
 // Load is what one entry has in progress at an upstream.
--- a/core/call/send.go
+++ b/core/call/send.go
@@ -39,5 +39,6 @@
 	ID     string // Id of the request that it answers; empty if it does not say.
 	NotRun bool   // The upstream did not run the request and will not.
 	Sealed bool   // Carries the proof that the upstream made it.
+	From   string // Name of the upstream that answers; empty if it does not say.
 	Load   *Load  // Nil if it does not say.
 }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -51,6 +51,12 @@
 	// workWeight is what a unit of an engine's time counts for against one of the request's own
 	// delay: other requests wait behind it.
 	workWeight = 0.5
+	// streamWeight is what prompt work on an engine that generates outputs counts for beside: each
+	// of its steps becomes longer, for all of its streams.
+	streamWeight = 0.7
+	// behindWeight is the share of an engine's waiting prompt work that delays an output whose
+	// prompt has been processed elsewhere.
+	behindWeight = 0.25
 	// zoneCost is the delay that a send to another availability zone counts for beside its time.
 	zoneCost = 4 * time.Millisecond
 	// fetchLeast is the number of tokens from which a fetch takes less time than processing them.
@@ -84,6 +90,11 @@
 	return p
 }
 
+// Work returns the time that a prompt engine spends on a prompt of which it lacks some tokens.
+func (p *Placer) Work(prompt, fresh int) time.Duration {
+	return p.speed.Read(&Engine{Prefill: true}, prompt, prompt-fresh)
+}
+
 // Choose returns the cheapest way to serve a job, and false if no engine can.
 func (p *Placer) Choose(job *Job, engines []*Engine) (Choice, bool) {
 	source := best(engines)
@@ -94,9 +105,6 @@
 	var found Choice
 	var least time.Duration
 	for _, e := range engines {
-		if !e.Prefill && e.crowded() && e != maker {
-			continue
-		}
 		c := p.reading(job, e, source)
 		cost := time.Duration(workWeight*float64(c.Work)) + apart(e.Zone, job.Zone) + jitter()
 		if e.Prefill {
@@ -105,7 +113,10 @@
 			cost += making
 		} else {
 			c.Make = e
-			cost += p.load(e)
+			cost += p.load(e) + time.Duration(streamWeight*float64(c.Work+e.Waiting))
+			if e.crowded() {
+				cost += crowdedCost
+			}
 		}
 		cost += c.Delay
 		if found.Make == nil || cost < least {
@@ -144,7 +155,7 @@
 		if e.Prefill {
 			continue
 		}
-		cost := p.load(e) + e.Waiting/2 + apart(e.Zone, job.Zone) + jitter()
+		cost := p.load(e) + time.Duration(behindWeight*float64(e.Waiting)) + apart(e.Zone, job.Zone) + jitter()
 		if read != "" {
 			cost += apart(e.Zone, read)
 		}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -15,8 +15,9 @@
 // Order is what one upstream shall be.
 type Order struct {
 	Upstream string `json:"upstream"`
+	Addr     string `json:"addr,omitempty"` // Of the upstream, where its agent does not know its name.
 	Role     string `json:"role"`
-	Version  string `json:"version"`
+	Version  string `json:"version,omitempty"`
 }
 
 // BadPlan reports a document that is no plan.
@@ -86,6 +87,18 @@
 	return next
 }
 
+// Keep returns a copy of p with the orders of the named upstreams only.
+func (p *Plan) Keep(upstreams map[string]bool) *Plan {
+	kept := *p
+	kept.Orders = nil
+	for _, o := range p.Orders {
+		if upstreams[o.Upstream] {
+			kept.Orders = append(kept.Orders, o)
+		}
+	}
+	return &kept
+}
+
 // Take returns a copy of p under a new epoch of the named lead.
 func (p *Plan) Take(lead string) *Plan {
 	next := p.next()
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -46,6 +46,8 @@
 	rejects  int                // Upstreams that did not run it.
 	tried    map[*upstream]bool // That are not to be tried again.
 	begun    bool               // The answer's head has been passed on.
+	first    time.Duration      // When it was, from the request's arrival.
+	started  func()             // Called with the first event.
 	last     string             // Id of the newest stream event that was passed on.
 	pieces   int                // Events that were passed on.
 }
@@ -65,6 +67,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.last = x.call.Last
+	x.started = func() {}
 	x.budget.First()
 	service := x.table.Services[x.service]
 	var end result
@@ -203,8 +206,10 @@
 	if reply.NotRun {
 		x.rejects++
 		u.breaker.Success()
-		if answer.StatusCode == http.StatusMisdirectedRequest {
+		if reply.From != "" && reply.From != info.ID {
 			u.moved.Store(true)
+		} else {
+			u.rest()
 		}
 		x.gate.log.Info("not run", "id", x.call.ID, "upstream", info.ID, "status", answer.StatusCode, "left", s.Left)
 		x.drain(answer)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -54,6 +54,8 @@
 	config  atomic.Pointer[document]
 	fleet   atomic.Pointer[fleet]
 	others  atomic.Pointer[others]
+	lead    *lead
+	demand  demand
 	leaving atomic.Bool
 	began   time.Time
 	beats   atomic.Uint64
@@ -99,6 +101,7 @@
 		peer: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 	}
 	g.gossip = gossip.New(set.Peer, g.log, g.beat, g.hear)
+	g.lead = newLead(g)
 	g.fleet.Store(&fleet{})
 	return g
 }
@@ -139,6 +142,7 @@
 	go follow.New(g.store, g.log, platform.MemberPrefix, g.applyMembers,
 		follow.WithPause(memberPause), follow.WithWait(g.watchWait), follow.WithLost(g.membersLost)).Run(work)
 	go g.sweep(work)
+	go g.lead.run(ctx)
 	go g.reload(work)
 	<-ctx.Done()
 	g.stop(callers)
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -19,13 +19,15 @@
 func (x *exchange) runModel(ctx context.Context, service *route.Service) result {
 	end := notRun
 	chains := cached.Chains(x.call.Model, x.call.Shared())
+	x.gate.prompted.Add(uint64(x.gate.placer.Work(x.call.Prompt, x.own()).Milliseconds()))
+	x.gate.output.Add(uint64(x.call.Output))
 	for {
 		choice, engines, ok := x.place(service, chains)
 		if !ok {
 			return end
 		}
 		x.gate.log.Info("placed", "id", x.call.ID, "read", name(choice.Read), "make", choice.Make.ID, "fetch", name(choice.Fetch),
-			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "held", held(choice))
+			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "held", heldBy(choice))
 		end = x.generate(ctx, service, choice, engines, chains)
 		if !x.again(ctx, end) {
 			return end
@@ -33,6 +35,15 @@
 	}
 }
 
+// own returns the tokens of the prompt that only this request has.
+func (x *exchange) own() int {
+	own := x.call.Prompt
+	for _, p := range x.call.Shared() {
+		own -= p.Tokens
+	}
+	return max(0, own)
+}
+
 func name(e *place.Engine) string {
 	if e == nil {
 		return ""
@@ -40,7 +51,7 @@
 	return e.ID
 }
 
-func held(c place.Choice) int {
+func heldBy(c place.Choice) int {
 	if c.Fetch != nil {
 		return c.Fetch.Held
 	}
@@ -75,16 +86,16 @@
 
 // engines returns the engines that may get the request, with their upstreams by id.
 func (x *exchange) engines(service *route.Service, kept map[string]int) ([]*place.Engine, map[string]*upstream) {
-	elsewhere := x.gate.elsewhere()
+	told := x.gate.told()
 	byID := make(map[string]*upstream)
 	var engines []*place.Engine
 	for _, u := range x.gate.fleet.Load().services[x.service] {
-		if !u.usable() || x.tried[u] {
+		if !u.usable() || u.resting() || x.tried[u] || told.away[u.key] {
 			continue
 		}
 		info := u.info.Load()
 		byID[info.ID] = u
-		more := elsewhere[u.key]
+		more := told.load[u.key]
 		engines = append(engines, &place.Engine{
 			ID: info.ID, Zone: info.Zone, Prefill: info.Role == member.Prefill,
 			Waiting: time.Duration(u.waiting.Load()) + time.Duration(more.Waiting)*waitingUnit,
@@ -103,7 +114,8 @@
 		if c.Fetch != nil {
 			s.Fetch = engines[c.Fetch.ID].info.Load().Addr
 		}
-		defer maker.work(c.Work)()
+		x.started = maker.work(c.Work)
+		defer x.started()
 	} else {
 		handle, end := x.prefill(ctx, engines, c)
 		if end != done {
@@ -142,7 +154,7 @@
 	if c.Fetch != nil {
 		s.Fetch = engines[c.Fetch.ID].info.Load().Addr
 	}
-	ran, arrivals := x.ran, x.arrivals
+	ran, arrivals, began := x.ran, x.arrivals, time.Now()
 	answer, end := x.ask(ctx, reader, s)
 	if answer == nil {
 		// Processing a prompt may be repeated, and a first time that was accepted is no attempt.
@@ -161,6 +173,7 @@
 		var handle call.Handle
 		if handle, err = platform.ReadHandle(body, reader.info.Load().Addr); err == nil {
 			reader.breaker.Success()
+			x.gate.log.Info("prompt processed", "id", x.call.ID, "upstream", c.Read.ID, "expected", c.Delay, "took", time.Since(began))
 			return handle, done
 		}
 	}
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -94,7 +94,7 @@
 func (g *Gate) beat() *beat.Beat {
 	b := &beat.Beat{
 		Name: g.set.Name, Start: g.began.UnixNano(), Seq: g.beats.Add(1), Config: g.version(), Share: g.set.Share.String(),
-		Demand: beat.Demand{Prompt: g.prompted.Load(), Output: g.output.Load()},
+		Demand: beat.Demand{Prompt: g.prompted.Load(), Output: g.output.Load()}, Away: g.lead.changing(),
 	}
 	for _, list := range g.fleet.Load().services {
 		for _, u := range list {
@@ -250,18 +250,30 @@
 type others struct {
 	at   time.Time
 	load map[uint32]beat.Load
+	away map[uint32]bool
 }
 
 // elsewhere returns the load of the other entries that were heard lately.
 func (g *Gate) elsewhere() map[uint32]beat.Load {
+	return g.told().load
+}
+
+// told returns what the other entries that were heard lately tell.
+func (g *Gate) told() *others {
 	if o := g.others.Load(); o != nil && time.Since(o.at) < seenFor {
-		return o.load
+		return o
+	}
+	sum, away := make(map[uint32]beat.Load), make(map[uint32]bool)
+	for _, key := range g.lead.changing() {
+		away[key] = true
 	}
-	sum := make(map[uint32]beat.Load)
 	for _, p := range g.gossip.Peers() {
 		if !p.Alive() {
 			continue
 		}
+		for _, key := range p.Beat.Away {
+			away[key] = true
+		}
 		for _, l := range p.Beat.Loads {
 			s := sum[l.Key]
 			s.Running += l.Running
@@ -271,8 +283,9 @@
 			sum[l.Key] = s
 		}
 	}
-	g.others.Store(&others{at: time.Now(), load: sum})
-	return sum
+	o := &others{at: time.Now(), load: sum, away: away}
+	g.others.Store(o)
+	return o
 }
 
 // entries returns how many entries share the budgets, those lost a short while ago included.
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -92,12 +92,13 @@
 	if x.gate.leaving.Load() {
 		h.Set("Connection", "close")
 	}
-	x.begun = true
+	x.begun, x.first = true, time.Since(x.arrived)
+	x.started()
 	x.w.WriteHeader(answer.StatusCode)
 }
 
 func (x *exchange) finished(status int) {
-	x.gate.log.Info("answered", "id", x.call.ID, "route", x.route.Name, "status", status, "took", time.Since(x.arrived),
+	x.gate.log.Info("answered", "id", x.call.ID, "route", x.route.Name, "status", status, "first", x.first, "took", time.Since(x.arrived),
 		"events", x.pieces, "arrivals", x.arrivals, "ran", x.ran, "rejects", x.rejects)
 }
 
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -16,6 +16,7 @@
 	info    atomic.Pointer[member.Upstream]
 	breaker *health.Breaker
 	moved   atomic.Bool  // Another replica answered at its address.
+	rested  atomic.Int64 // Unix nanoseconds until which it gets no work after it took none.
 	running atomic.Int64 // Requests of this gate in progress.
 	waiting atomic.Int64 // Nanoseconds of work of prompts without a first token.
 	making  atomic.Int64 // Requests of this gate that generate output.
@@ -43,6 +44,18 @@
 	return !u.moved.Load() && !u.breaker.Open()
 }
 
+// restTime is how long an upstream that took a request for another role, or that was full, gets no
+// work while others can have it.
+const restTime = 150 * time.Millisecond
+
+func (u *upstream) rest() {
+	u.rested.Store(time.Now().Add(restTime).UnixNano())
+}
+
+func (u *upstream) resting() bool {
+	return time.Now().UnixNano() < u.rested.Load()
+}
+
 // pickPlain chooses the upstream of a plain service that has the fewest requests in progress, in the
 // gate's own availability zone among equals, and was not tried.
 func (g *Gate) pickPlain(service string, tried map[*upstream]bool) *upstream {
