place, split, cached: spare the decode engines

Cause: outputs take 11 tokens an event and 2 s a case summary, so decode engines are bound by memory and step time: prompts processed on them lengthen each step (events each 60 to 120 ms), and with 9 of 12 prompt engines their memory ran out (394 preempted). Parts taken as cached for 90 s were evicted after about 11 s and read again (1.44 M tokens). Ruled out: prompt engines (estimates within 10% of what calls took).

--- a/core/cached/map.go
+++ b/core/cached/map.go
@@ -14,7 +14,7 @@
 	mostChains = 16384
 	// keepTime is how long a part is taken to stay cached after its last use; engines drop the
 	// least recently used parts, and their events of that come late or never.
-	keepTime = 90 * time.Second
+	keepTime = 8 * time.Second
 )
 
 // Chain is the hash of the leading parts of a prompt up to one of them.
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -53,7 +53,7 @@
 	workWeight = 0.5
 	// streamWeight is what prompt work on an engine that generates outputs counts for beside: each
 	// of its steps becomes longer, for all of its streams.
-	streamWeight = 0.7
+	streamWeight = 3
 	// behindWeight is the share of an engine's waiting prompt work that delays an output whose
 	// prompt has been processed elsewhere.
 	behindWeight = 0.25
--- a/core/split/planner.go
+++ b/core/split/planner.go
@@ -7,28 +7,31 @@
 
 const (
 	// priorShare is the share of engines that process prompts until a demand is known.
-	priorShare = 0.58
+	priorShare = 0.6
 	// target is the utilisation of the prompt engines that is aimed at; beyond it their queues
 	// grow faster than a change of role can answer.
-	target = 0.55
-	// helpShare is what a decode engine adds in processing prompts, as a share of a prompt engine.
-	helpShare = 0.25
+	target = 0.6
+	// fill is the share of the decode engines' memory that outputs are to hold; beyond it requests
+	// are preempted in bursts.
+	fill = 0.72
 	// keepShare is the least share of engines that generate outputs.
-	keepShare = 0.33
+	keepShare = 0.25
 	// riseTime and fallTime are the windows of the average that follows the demand up and down.
 	riseTime = 3 * time.Second
 	fallTime = 20 * time.Second
-	// spare is by how much the wanted number must be exceeded before an engine is given back.
-	spare = 1.2
-	// settleTime is the time without traffic after which the demand is taken to be unknown.
-	settleTime = 2 * time.Second
+	// spare is the number of prompt engines too many that are left as they are, since too few of
+	// them cost more than too many.
+	spare = 1
+	// settleTime is the time with traffic before which the demand is not acted on.
+	settleTime = 3 * time.Second
 )
 
 // Planner follows the demand of one service.
 type Planner struct {
-	average float64 // Prompt engines that the demand keeps busy.
-	seen    time.Time
-	began   time.Time // First demand.
+	prompt float64 // Prompt engines that the demand keeps busy.
+	output float64 // Engines whose memory the outputs in progress fill.
+	seen   time.Time
+	began  time.Time // First demand.
 }
 
 // New returns a Planner that knows no demand.
@@ -36,8 +39,9 @@
 	return &Planner{}
 }
 
-// Observe takes the prompt work of the time since the last observation, in engine-seconds a second.
-func (p *Planner) Observe(work float64) {
+// Observe takes the prompt work of the time since the last observation, in engine-seconds a second,
+// and the memory that outputs hold now, in engines.
+func (p *Planner) Observe(prompt, output float64) {
 	now := time.Now()
 	if p.seen.IsZero() {
 		p.seen = now
@@ -45,17 +49,22 @@
 	}
 	elapsed := now.Sub(p.seen)
 	p.seen = now
-	if p.began.IsZero() {
-		if work == 0 {
-			return
-		}
+	if p.began.IsZero() && prompt > 0 {
 		p.began = now
 	}
+	if !p.began.IsZero() {
+		p.prompt = follow(p.prompt, prompt, elapsed)
+		p.output = follow(p.output, output, elapsed)
+	}
+}
+
+// follow moves an average towards the newest value, faster up than down.
+func follow(average, newest float64, elapsed time.Duration) float64 {
 	window := fallTime
-	if work > p.average {
+	if newest > average {
 		window = riseTime
 	}
-	p.average += (work - p.average) * (1 - math.Exp(-elapsed.Seconds()/window.Seconds()))
+	return average + (newest-average)*(1-math.Exp(-elapsed.Seconds()/window.Seconds()))
 }
 
 // Known reports whether the demand has been seen for long enough to act on.
@@ -63,9 +72,9 @@
 	return !p.began.IsZero() && time.Since(p.began) > settleTime
 }
 
-// Demand returns the prompt engines that the demand keeps busy on average.
-func (p *Planner) Demand() float64 {
-	return p.average
+// Demand returns the averages of what Observe took.
+func (p *Planner) Demand() (prompt, output float64) {
+	return p.prompt, p.output
 }
 
 // Want returns how many of n engines shall process prompts if now do so at present.
@@ -77,19 +86,19 @@
 	if !p.Known() {
 		// The demand is taken to be what the prior split is for, and is followed from there.
 		want := min(most, int(math.Round(priorShare*float64(n))))
-		p.average = target * (float64(want)*(1-helpShare) + helpShare*float64(n))
+		p.prompt, p.output = target*float64(want), fill*float64(n-want)
 		return want
 	}
-	want := p.need(n, 1)
-	if want < now {
-		// Too few prompt engines cost more than too many, so they are given back late.
-		want = min(now, p.need(n, spare))
+	want := p.need(n)
+	if want < now && p.need(n)+spare >= now {
+		want = now
 	}
 	return max(1, min(most, want))
 }
 
-// need returns the prompt engines at which the demand, times a margin, meets the target.
-func (p *Planner) need(n int, margin float64) int {
-	load := p.average * margin / target
-	return int(math.Ceil((load - helpShare*float64(n)) / (1 - helpShare)))
+// need returns the number of prompt engines that the demand asks for. Outputs come first: engines
+// whose memory is full preempt requests, and all of their work is done again.
+func (p *Planner) need(n int) int {
+	outputs := int(math.Ceil(p.output / fill))
+	return min(int(math.Ceil(p.prompt/target)), n-outputs)
 }
--- a/io/gate/lead.go
+++ b/io/gate/lead.go
@@ -26,7 +26,8 @@
 	planEvery    = 500 * time.Millisecond
 	// changeTime is how long a change that an engine's entry does not show yet counts as under way:
 	// its drain, the change itself and the entry's delay.
-	changeTime = 12 * time.Second
+	changeTime  = 12 * time.Second
+	demandEvery = 2 * time.Second // Between log lines of the demand.
 	// changesAtOnce bounds the engines that are away for a change while there is traffic.
 	changesAtOnce = 1
 )
@@ -48,6 +49,7 @@
 	at      int64 // Revision in the store; 0 if there is none.
 	read    bool  // It bears this lead's epoch.
 	planner *split.Planner
+	logged  time.Time
 	changed map[string]time.Time // When an engine's order last changed.
 }
 
@@ -172,7 +174,7 @@
 			h = &held{planner: split.New(), changed: make(map[string]time.Time)}
 			l.plans[name] = h
 		}
-		h.planner.Observe(work)
+		h.planner.Observe(work, l.held(name)/float64(max(1, service.Engine.Capacity)))
 		l.plan(ctx, name, h, away)
 	}
 	l.mu.Lock()
@@ -180,6 +182,15 @@
 	l.mu.Unlock()
 }
 
+// held returns the tokens of KV cache that running outputs of a service hold.
+func (l *lead) held(service string) float64 {
+	told, total := l.gate.told(), 0.0
+	for _, u := range l.gate.fleet.Load().services[service] {
+		total += float64(u.tokens.Load()) + float64(told.load[u.key].Tokens)
+	}
+	return total
+}
+
 // plan writes the next change of a service's plan and notes the engines that are changing.
 func (l *lead) plan(ctx context.Context, name string, h *held, away map[uint32]bool) {
 	if !h.read && !l.take(ctx, name, h) {
@@ -204,6 +215,12 @@
 		}
 	}
 	want := h.planner.Want(len(engines), prefill)
+	if time.Since(h.logged) > demandEvery {
+		h.logged = time.Now()
+		prompt, output := h.planner.Demand()
+		l.gate.log.Info("demand", "service", name, "engines", len(engines), "prefill", prefill, "want", want,
+			"prompt", prompt, "output", output, "changing", changing)
+	}
 	room := changesAtOnce - changing
 	if !h.planner.Known() {
 		room = len(engines)
@@ -226,8 +243,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	l.gate.log.Info("split", "service", name, "engines", len(engines), "want", want, "demand", h.planner.Demand(),
-		"known", h.planner.Known(), "changed", changed)
+	l.gate.log.Info("split", "service", name, "engines", len(engines), "want", want, "known", h.planner.Known(), "changed", changed)
 	if l.write(ctx, name, h, next.Keep(ids(engines))) {
 		for _, id := range changed {
 			h.changed[id] = time.Now()
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -27,7 +27,7 @@
 			return end
 		}
 		x.gate.log.Info("placed", "id", x.call.ID, "read", name(choice.Read), "make", choice.Make.ID, "fetch", name(choice.Fetch),
-			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "held", heldBy(choice))
+			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "shared", x.call.Prompt-x.own(), "held", heldBy(choice))
 		end = x.generate(ctx, service, choice, engines, chains)
 		if !x.again(ctx, end) {
 			return end
