gate: look at the caller's connection before each send

Their contexts end only after the server's readers have run. Ruled out: deadlines, they had not passed. Now a peek under Control.

--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -1,12 +1,15 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"pimentoseam/core/call"
+	"pimentoseam/io/socket"
 	"pimentoseam/platform"
 )
 
@@ -27,10 +30,25 @@
 	return &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headBytes,
-		ErrorLog: nil,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// left reports whether the caller has closed its connection. The request's context tells that too, but
+// late in a process that has just been frozen.
+func (x *exchange) left() bool {
+	if x.r.Context().Err() != nil {
+		return true
+	}
+	c, ok := x.r.Context().Value(connKey{}).(net.Conn)
+	return ok && socket.Look(c) == socket.Closed
+}
+
 // serve takes one request from its route to its answer.
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -85,7 +85,7 @@
 func (x *exchange) fail(ctx context.Context, end result) {
 	log := x.gate.log.With("id", x.call.ID, "route", x.route.Name, "service", x.service, "end", string(end),
 		"arrivals", x.arrivals, "ran", x.ran, "rejects", x.rejects, "took", time.Since(x.arrived))
-	if x.r.Context().Err() != nil {
+	if x.left() {
 		log.Info("caller left")
 		panic(http.ErrAbortHandler)
 	}
@@ -183,6 +183,9 @@
 
 // ask sends the request to an upstream and returns its answer once it says that it ran.
 func (x *exchange) ask(ctx context.Context, u *upstream, s *call.Send) (*outlet.Answer, result) {
+	if x.left() || ctx.Err() != nil {
+		return nil, abandoned
+	}
 	info := u.info.Load()
 	s.Instance = info.ID
 	s.Left = time.Until(x.deadline)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -7,10 +7,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"pimentoseam/core/beat"
@@ -143,7 +141,7 @@
 		follow.WithPause(memberPause), follow.WithWait(g.watchWait), follow.WithLost(g.membersLost)).Run(work)
 	go g.sweep(work)
 	go g.lead.run(ctx)
-	go g.reload(work)
+	go proc.Hangups(work, g.log)
 	<-ctx.Done()
 	g.stop(callers)
 	return nil
@@ -168,22 +166,6 @@
 	g.log.Info("stopped", "after", time.Since(began), "err", err)
 }
 
-// reload notes that the settings file has changed; what a running process uses of it does not change,
-// so the new settings take effect with its next start.
-func (g *Gate) reload(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			g.log.Info("reload", "changed", "nothing in use")
-		}
-	}
-}
-
 // serveReady tells the balancer whether this entry takes new connections.
 func (g *Gate) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
--- a/io/outlet/outlet.go
+++ b/io/outlet/outlet.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pimentoseam/io/socket"
 )
 
 const (
@@ -283,16 +285,5 @@
 	if c.reader.Buffered() > 0 || !time.Now().Before(c.expires) {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return socket.Look(c.Conn) == socket.Quiet
 }
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -26,6 +26,22 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
+// Hangups logs each SIGHUP until ctx ends, in place of ending the process. The settings that a running
+// process uses (its addresses and name) can't change under it; the rest is read at its next start.
+func Hangups(ctx context.Context, log *slog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			log.Info("reload", "changed", "nothing in use")
+		}
+	}
+}
+
 // Jitter returns between half and all of d, so that processes do not act in step.
 func Jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2)
--- /dev/null
+++ b/io/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket looks at open connections without reading from them.
+package socket
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -64,6 +64,7 @@
 	t.log.Info("started", "engine", t.set.Engine, "service", t.set.Service)
 	go follow.New(t.store, t.log, PlanPrefix+t.set.Service, t.apply,
 		follow.WithPause(watchPause), follow.WithWait(func() time.Duration { return proc.Jitter(watchWait) })).Run(ctx)
+	go proc.Hangups(ctx, t.log)
 	for ctx.Err() == nil {
 		wait := t.bring(ctx)
 		timer := time.NewTimer(wait)
