shed: refuse long prompts that would come late while engines are behind

Ruled out: estimates (0.1 off), decode engines (their memory was two thirds full). Change: what would come late is told when to come back, at once, unless it has come back already or waits less than a return takes; prompt work is told apart by priority; the split changes only after 2.5 s.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -20,6 +20,9 @@
 	Away    []uint32 // Keys of the engines that are changing their role, told by the lead.
 }
 
+// Priorities is the number of priorities that beats tell apart.
+const Priorities = 4
+
 // Load is what one entry has in progress at an upstream.
 type Load struct {
 	_       struct{} `cbor:",toarray"`
@@ -27,7 +30,9 @@
 	Running uint32   // Requests.
 	Making  uint32   // Requests that generate output.
 	Tokens  uint32   // KV cache that those hold.
-	Waiting uint32   // Work of prompts without a first token in tenths of a millisecond.
+	// Waiting is the work of prompts without a first token in tenths of a millisecond, by the
+	// priority of their routes; the last one stands for all less urgent ones.
+	Waiting [Priorities]uint32
 }
 
 // Part tells that an upstream has processed the parts of a prompt that end a chain.
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -111,11 +111,14 @@
 			c.Read, c.Make = e, maker
 			c.Delay += p.speed.Move(job.Prompt, job.Bytes, job.Link, e.Zone != maker.Zone) + p.speed.Network + p.speed.Step
 			cost += making
+			if maker.crowded() {
+				c.Delay += crowdedCost
+			}
 		} else {
 			c.Make = e
 			cost += p.load(e) + time.Duration(streamWeight*float64(c.Work+e.Waiting))
 			if e.crowded() {
-				cost += crowdedCost
+				c.Delay += crowdedCost
 			}
 		}
 		cost += c.Delay
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -45,6 +45,18 @@
 	return r.Kind == Safe || (r.Kind == Stream && r.Resume)
 }
 
+const (
+	// Callers leave a stream after the longest of these without an event.
+	patienceLeast   = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+)
+
+// Patience returns how long callers of a stream wait for an event before they leave.
+func (r *Route) Patience() time.Duration {
+	return max(patienceLeast, patienceTargets*r.Target, patienceGaps*r.Gap)
+}
+
 // Pick returns the service of one request, drawn by weight.
 func (r *Route) Pick() string {
 	total := 0
--- a/core/split/planner.go
+++ b/core/split/planner.go
@@ -13,7 +13,7 @@
 	target = 0.6
 	// fill is the share of the decode engines' memory that outputs are to hold; beyond it requests
 	// are preempted in bursts.
-	fill = 0.72
+	fill = 0.78
 	// keepShare is the least share of engines that generate outputs.
 	keepShare = 0.25
 	// riseTime and fallTime are the windows of the average that follows the demand up and down.
@@ -22,6 +22,8 @@
 	// spare is the number of prompt engines too many that are left as they are, since too few of
 	// them cost more than too many.
 	spare = 1
+	// steadyTime is how long another split must be called for; an engine that restarts is back by then.
+	steadyTime = 2500 * time.Millisecond
 	// settleTime is the time with traffic before which the demand is not acted on.
 	settleTime = 3 * time.Second
 )
@@ -32,6 +34,8 @@
 	output float64 // Engines whose memory the outputs in progress fill.
 	seen   time.Time
 	began  time.Time // First demand.
+	wished time.Time // Since when another split is called for; zero if none is.
+	more   bool      // It has more prompt engines.
 }
 
 // New returns a Planner that knows no demand.
@@ -89,11 +93,18 @@
 		p.prompt, p.output = target*float64(want), fill*float64(n-want)
 		return want
 	}
-	want := p.need(n)
-	if want < now && p.need(n)+spare >= now {
-		want = now
+	want := max(1, min(most, p.need(n)))
+	if want == now || (want < now && want+spare >= now) {
+		p.wished = time.Time{}
+		return now
 	}
-	return max(1, min(most, want))
+	if p.wished.IsZero() || p.more != (want > now) {
+		p.wished, p.more = time.Now(), want > now
+	}
+	if time.Since(p.wished) < steadyTime {
+		return now
+	}
+	return want
 }
 
 // need returns the number of prompt engines that the demand asks for. Outputs come first: engines
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -60,6 +60,7 @@
 	notRun    result = "not run"   // It did not run and will not.
 	maybeRun  result = "maybe run" // It may have run; the caller has no whole answer.
 	abandoned result = "abandoned" // The caller has gone or the time is up.
+	refused   result = "refused"   // The caller was told to come back.
 )
 
 // run answers the request.
@@ -76,7 +77,7 @@
 	} else {
 		end = x.runPlain(ctx)
 	}
-	if end != done {
+	if end != done && end != refused {
 		x.fail(ctx, end)
 	}
 }
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"pimentoseam/core/cached"
@@ -9,6 +10,7 @@
 	"pimentoseam/core/member"
 	"pimentoseam/core/place"
 	"pimentoseam/core/route"
+	"pimentoseam/core/shed"
 	"pimentoseam/platform"
 )
 
@@ -26,6 +28,9 @@
 		if !ok {
 			return end
 		}
+		if !x.sent && !x.prompted && !x.admit(choice) {
+			return refused
+		}
 		x.gate.log.Info("placed", "id", x.call.ID, "read", name(choice.Read), "make", choice.Make.ID, "fetch", name(choice.Fetch),
 			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "shared", x.call.Prompt-x.own(), "held", heldBy(choice))
 		end = x.generate(ctx, service, choice, engines, chains)
@@ -35,6 +40,20 @@
 	}
 }
 
+// admit reports whether the request is to be served with the choice's delay; else it has been refused.
+func (x *exchange) admit(c place.Choice) bool {
+	left := time.Until(x.deadline)
+	v := shed.Decide(&shed.Load{
+		Delay: c.Delay, Target: x.route.Target, Patience: x.route.Patience(), Left: left, Timeout: x.route.Timeout,
+	})
+	if !v.Admit {
+		x.gate.log.Info("refused", "id", x.call.ID, "route", x.route.Name, "why", v.Why, "delay", c.Delay, "left", left, "after", v.After)
+		setRetry(x.w, v.After)
+		x.w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return v.Admit
+}
+
 // own returns the tokens of the prompt that only this request has.
 func (x *exchange) own() int {
 	own := x.call.Prompt
@@ -98,7 +117,7 @@
 		more := told.load[u.key]
 		engines = append(engines, &place.Engine{
 			ID: info.ID, Zone: info.Zone, Prefill: info.Role == member.Prefill,
-			Waiting: time.Duration(u.waiting.Load()) + time.Duration(more.Waiting)*waitingUnit,
+			Waiting: u.ahead(x.route.Priority, more),
 			Making:  int(u.making.Load()) + int(more.Making), Tokens: int(u.tokens.Load()) + int(more.Tokens),
 			Slots: service.Engine.Slots, Memory: service.Engine.Capacity, Held: kept[info.ID],
 		})
@@ -114,7 +133,7 @@
 		if c.Fetch != nil {
 			s.Fetch = engines[c.Fetch.ID].info.Load().Addr
 		}
-		x.started = maker.work(c.Work)
+		x.started = maker.work(c.Work, x.route.Priority)
 		defer x.started()
 	} else {
 		handle, end := x.prefill(ctx, engines, c)
@@ -149,7 +168,7 @@
 		return call.Handle{}, notRun
 	}
 	x.prompted = true
-	defer reader.work(c.Work)()
+	defer reader.work(c.Work, x.route.Priority)()
 	s := &call.Send{Priority: x.route.Priority, Prefill: true}
 	if c.Fetch != nil {
 		s.Fetch = engines[c.Fetch.ID].info.Load().Addr
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -279,7 +279,9 @@
 			s.Running += l.Running
 			s.Making += l.Making
 			s.Tokens += l.Tokens
-			s.Waiting += l.Waiting
+			for i := range s.Waiting {
+				s.Waiting[i] += l.Waiting[i]
+			}
 			sum[l.Key] = s
 		}
 	}
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -15,12 +15,12 @@
 	key     uint32 // Of its id in beats.
 	info    atomic.Pointer[member.Upstream]
 	breaker *health.Breaker
-	moved   atomic.Bool  // Another replica answered at its address.
-	rested  atomic.Int64 // Unix nanoseconds until which it gets no work after it took none.
-	running atomic.Int64 // Requests of this gate in progress.
-	waiting atomic.Int64 // Nanoseconds of work of prompts without a first token.
-	making  atomic.Int64 // Requests of this gate that generate output.
-	tokens  atomic.Int64 // KV cache that those hold.
+	moved   atomic.Bool                   // Another replica answered at its address.
+	rested  atomic.Int64                  // Unix nanoseconds until which it gets no work after it took none.
+	running atomic.Int64                  // Requests of this gate in progress.
+	waiting [beat.Priorities]atomic.Int64 // Nanoseconds of work of prompts without a first token.
+	making  atomic.Int64                  // Requests of this gate that generate output.
+	tokens  atomic.Int64                  // KV cache that those hold.
 }
 
 func newUpstream(key uint32) *upstream {
@@ -31,9 +31,31 @@
 func (u *upstream) load() (beat.Load, bool) {
 	l := beat.Load{
 		Key: u.key, Running: uint32(u.running.Load()), Making: uint32(u.making.Load()), Tokens: uint32(u.tokens.Load()),
-		Waiting: uint32(time.Duration(u.waiting.Load()) / waitingUnit),
 	}
-	return l, l.Running > 0 || l.Waiting > 0
+	busy := l.Running > 0 || l.Making > 0
+	for i := range l.Waiting {
+		l.Waiting[i] = uint32(time.Duration(u.waiting[i].Load()) / waitingUnit)
+		busy = busy || l.Waiting[i] > 0
+	}
+	return l, busy
+}
+
+// behindShare is how much of the less urgent prompt work counts as in the way: what an engine has in
+// its batch goes on beside a more urgent prompt.
+const behindShare = 0.5
+
+// ahead returns the prompt work at the upstream, here and by other entries, that is in the way of a
+// prompt with a priority; engines process more urgent prompts first.
+func (u *upstream) ahead(priority int, elsewhere beat.Load) time.Duration {
+	var sum time.Duration
+	for i := range beat.Priorities {
+		work := time.Duration(u.waiting[i].Load()) + time.Duration(elsewhere.Waiting[i])*waitingUnit
+		if i > priority {
+			work = time.Duration(behindShare * float64(work))
+		}
+		sum += work
+	}
+	return sum
 }
 
 // waitingUnit is the unit of work in beats.
@@ -91,12 +113,13 @@
 }
 
 // work counts a prompt's work at an upstream and returns a function that takes it back.
-func (u *upstream) work(d time.Duration) func() {
-	u.waiting.Add(int64(d))
+func (u *upstream) work(d time.Duration, priority int) func() {
+	waiting := &u.waiting[min(max(priority, 0), beat.Priorities-1)]
+	waiting.Add(int64(d))
 	var done atomic.Bool
 	return func() {
 		if done.CompareAndSwap(false, true) {
-			u.waiting.Add(-int64(d))
+			waiting.Add(-int64(d))
 		}
 	}
 }
