place, split: serve urgent prompts on full engines, count slots as memory

Change: only prompts that others go before are refused for full decode engines, with a reserve by their size; the planner counts slots too.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -31,6 +31,7 @@
 	Target time.Duration // Latency that the caller aims at.
 	Bytes  int           // Of the KV cache of one token.
 	Link   float64       // Mbit/s between engines.
+	Urgent bool          // No other requests go before it: engines make room for it.
 }
 
 // Choice tells where a request goes.
@@ -61,11 +62,11 @@
 	zoneCost = 4 * time.Millisecond
 	// fetchLeast is the number of tokens from which a fetch takes less time than processing them.
 	fetchLeast = 256
-	// fullShare is the share of slots or memory from which an engine takes no further output.
-	fullShare = 0.9
+	// reserve is how many times its own size must be free in an engine's memory for a request.
+	reserve = 4
 	// fullCost is the delay that a decode engine's load counts for when all of its places are taken.
 	fullCost = 300 * time.Millisecond
-	// crowdedCost is added beyond fullShare, where requests wait for a place.
+	// crowdedCost is added where requests wait for a place.
 	crowdedCost = time.Second
 	// slowSteps is the number of steps for which a slow engine's lag counts.
 	slowSteps = 4
@@ -111,13 +112,13 @@
 			c.Read, c.Make = e, maker
 			c.Delay += p.speed.Move(job.Prompt, job.Bytes, job.Link, e.Zone != maker.Zone) + p.speed.Network + p.speed.Step
 			cost += making
-			if maker.crowded() {
+			if maker.crowded(job) {
 				c.Delay += crowdedCost
 			}
 		} else {
 			c.Make = e
 			cost += p.load(e) + time.Duration(streamWeight*float64(c.Work+e.Waiting))
-			if e.crowded() {
+			if e.crowded(job) {
 				c.Delay += crowdedCost
 			}
 		}
@@ -162,7 +163,7 @@
 		if read != "" {
 			cost += apart(e.Zone, read)
 		}
-		if e.crowded() {
+		if e.crowded(job) {
 			cost += crowdedCost
 		}
 		if found == nil || cost < least {
@@ -198,8 +199,16 @@
 	return share
 }
 
-func (e *Engine) crowded() bool {
-	return e.share() > fullShare
+// crowded reports whether the engine would have to make a request wait or preempt others for it.
+// Long prompts leave a reserve of their own size several times over, so that short ones find room.
+func (e *Engine) crowded(job *Job) bool {
+	if job.Urgent {
+		return false
+	}
+	if e.Slots > 0 && e.Making >= e.Slots {
+		return true
+	}
+	return e.Memory > 0 && e.Tokens+reserve*(job.Prompt+job.Output) > e.Memory
 }
 
 // best returns the engine that keeps most of the prompt, nil if none keeps any.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -108,6 +108,7 @@
 	Services map[string]*Service
 	hosts    map[string][]*Route // Longest prefix first.
 	routes   []*Route
+	urgent   map[string]int // Most urgent priority of the routes to each service.
 }
 
 // New returns the Table of a configuration.
@@ -115,6 +116,7 @@
 	t := &Table{
 		Version: version, Limits: limits, routes: routes,
 		Services: make(map[string]*Service, len(services)), hosts: make(map[string][]*Route),
+		urgent: make(map[string]int),
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
@@ -122,6 +124,11 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		for _, b := range r.Backends {
+			if p, ok := t.urgent[b.Service]; !ok || r.Priority < p {
+				t.urgent[b.Service] = r.Priority
+			}
+		}
 	}
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -134,6 +141,11 @@
 	return t.routes
 }
 
+// Urgent reports whether no route to the service is more urgent than r.
+func (t *Table) Urgent(r *Route, service string) bool {
+	return r.Priority <= t.urgent[service]
+}
+
 // Find returns the route with the longest prefix of path on the host, or nil.
 func (t *Table) Find(host, path string) *Route {
 	host = strings.ToLower(host)
--- a/io/gate/lead.go
+++ b/io/gate/lead.go
@@ -9,6 +9,7 @@
 	"pimentoseam/core/beat"
 	"pimentoseam/core/member"
 	"pimentoseam/core/plan"
+	"pimentoseam/core/route"
 	"pimentoseam/core/split"
 	"pimentoseam/io/proc"
 	"pimentoseam/io/store"
@@ -174,7 +175,7 @@
 			h = &held{planner: split.New(), changed: make(map[string]time.Time)}
 			l.plans[name] = h
 		}
-		h.planner.Observe(work, l.held(name)/float64(max(1, service.Engine.Capacity)))
+		h.planner.Observe(work, l.outputs(name, service.Engine))
 		l.plan(ctx, name, h, away)
 	}
 	l.mu.Lock()
@@ -182,13 +183,14 @@
 	l.mu.Unlock()
 }
 
-// held returns the tokens of KV cache that running outputs of a service hold.
-func (l *lead) held(service string) float64 {
-	told, total := l.gate.told(), 0.0
-	for _, u := range l.gate.fleet.Load().services[service] {
-		total += float64(u.tokens.Load()) + float64(told.load[u.key].Tokens)
+// outputs returns how many engines the running outputs of a service fill, by memory or by slots.
+func (l *lead) outputs(name string, e *route.Engine) float64 {
+	told, tokens, making := l.gate.told(), 0.0, 0.0
+	for _, u := range l.gate.fleet.Load().services[name] {
+		tokens += float64(u.tokens.Load()) + float64(told.load[u.key].Tokens)
+		making += float64(u.making.Load()) + float64(told.load[u.key].Making)
 	}
-	return total
+	return max(tokens/float64(max(1, e.Capacity)), making/float64(max(1, e.Slots)))
 }
 
 // plan writes the next change of a service's plan and notes the engines that are changing.
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -100,6 +100,7 @@
 	return &place.Job{
 		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set.Zone, Target: x.route.Target,
 		Bytes: service.Engine.Bytes, Link: service.Engine.Link,
+		Urgent: x.table.Urgent(x.route, x.service),
 	}
 }
 
