--- a/core/member/set.go
+++ b/core/member/set.go
@@ -168,7 +168,7 @@
 	}
 	outage := !s.outage.IsZero() && time.Since(s.outage) <= returnWait
 	for service, list := range removed {
-		if outage || len(list) >= len(usable[service]) {
+		if outage || len(list) > len(usable[service]) {
 			usable[service] = append(usable[service], list...)
 		}
 	}
--- /dev/null
+++ b/core/place/placer_test.go
@@ -0,0 +1,101 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"pimentoseam/core/place"
+)
+
+func decode(id string) *place.Engine {
+	return &place.Engine{ID: id, Zone: "z", Slots: 64, Memory: 480000}
+}
+
+func prefill(id string) *place.Engine {
+	e := decode(id)
+	e.Prefill = true
+	return e
+}
+
+func job(prompt int) *place.Job {
+	return &place.Job{Prompt: prompt, Output: 40, Zone: "z", Target: 800 * time.Millisecond, Bytes: 163840, Link: 1.3e6}
+}
+
+func TestChoose(t *testing.T) {
+	busy := func(e *place.Engine, waiting time.Duration) *place.Engine {
+		e.Waiting = waiting
+		return e
+	}
+	holds := func(e *place.Engine, tokens int) *place.Engine {
+		e.Held = tokens
+		return e
+	}
+	full := func(e *place.Engine) *place.Engine {
+		e.Tokens, e.Making = e.Memory, e.Slots
+		return e
+	}
+	tests := []struct {
+		name              string
+		job               *place.Job
+		engines           []*place.Engine
+		read, make, fetch string // Empty for none.
+	}{
+		{"decode engines only", job(600), []*place.Engine{decode("d")}, "", "d", ""},
+		{"no decode engine", job(600), []*place.Engine{prefill("p")}, "", "", ""},
+		{"a long prompt is processed at full speed", job(12000), []*place.Engine{decode("d"), prefill("p")}, "p", "d", ""},
+		{"the shorter queue", job(12000), []*place.Engine{decode("d"), busy(prefill("p"), time.Second), prefill("q")}, "q", "d", ""},
+		{"prompt engines far behind", job(300), []*place.Engine{decode("d"), busy(prefill("p"), 2*time.Second)}, "", "d", ""},
+		{"an engine that keeps the parts", job(12000), []*place.Engine{decode("d"), holds(prefill("p"), 6000), prefill("q")}, "p", "d", ""},
+		{"parts are fetched from a busy engine", job(12000), []*place.Engine{decode("d"), holds(busy(prefill("p"), time.Second), 6000), prefill("q")}, "q", "d", "p"},
+		{"few tokens are not fetched", job(900), []*place.Engine{decode("d"), holds(busy(prefill("p"), time.Second), 100), prefill("q")}, "q", "d", ""},
+		{"outputs go where there is room", job(12000), []*place.Engine{full(decode("d")), decode("e"), prefill("p")}, "p", "e", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, ok := place.New().Choose(test.job, test.engines)
+			if ok != (test.make != "") {
+				t.Fatalf("found %v, want %v", ok, test.make != "")
+			}
+			for _, part := range []struct {
+				what string
+				got  *place.Engine
+				want string
+			}{{"read", c.Read, test.read}, {"make", c.Make, test.make}, {"fetch", c.Fetch, test.fetch}} {
+				got := ""
+				if part.got != nil {
+					got = part.got.ID
+				}
+				if got != part.want {
+					t.Errorf("%s: got %q, want %q", part.what, got, part.want)
+				}
+			}
+		})
+	}
+}
+
+// TestCrowded fills all decode engines: the delay of a long prompt shows it, that of an urgent one doesn't.
+func TestCrowded(t *testing.T) {
+	d := decode("d")
+	d.Tokens = 460000
+	engines := []*place.Engine{d, prefill("p")}
+	long, _ := place.New().Choose(job(12000), engines)
+	if long.Delay < time.Second {
+		t.Errorf("long prompt: delay %v, want above 1s", long.Delay)
+	}
+	urgent := job(600)
+	urgent.Urgent = true
+	short, _ := place.New().Choose(urgent, engines)
+	if short.Delay > 200*time.Millisecond {
+		t.Errorf("urgent prompt: delay %v, want below 200ms", short.Delay)
+	}
+}
+
+// TestMakerMoves asks for the output's engine again after the prompt: the one chosen first has left.
+func TestMakerMoves(t *testing.T) {
+	if e := place.New().Maker(job(600), []*place.Engine{prefill("p"), decode("e")}, "z"); e == nil || e.ID != "e" {
+		t.Errorf("got %v, want e", e)
+	}
+	if e := place.New().Maker(job(600), []*place.Engine{prefill("p")}, "z"); e != nil {
+		t.Errorf("got %v, want none", e)
+	}
+}
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -45,13 +45,19 @@
 	if x.r.Context().Err() != nil {
 		return true
 	}
-	c, ok := x.r.Context().Value(connKey{}).(net.Conn)
-	return ok && socket.Look(c) == socket.Closed
+	c, ok := x.r.Context().Value(connKey{}).(*tap)
+	return ok && socket.Look(c.TCPConn) == socket.Closed
 }
 
 // serve takes one request from its route to its answer.
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if c, ok := r.Context().Value(connKey{}).(*tap); ok && c.ambiguous(r) {
+		g.log.Info("invalid", "host", r.Host, "err", "a length beside a transfer coding")
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if !g.serves() {
 		g.refuse(w, r, "no configuration yet", time.Second)
 		return
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -87,9 +88,25 @@
 	return e.Cause
 }
 
+// Option changes a Gate.
+type Option func(*options)
+
+type options struct {
+	out io.Writer
+}
+
+// WithLog sends the log lines to w in place of the standard output.
+func WithLog(w io.Writer) Option {
+	return func(o *options) { o.out = w }
+}
+
 // New returns a Gate with the given settings.
-func New(set *setup.Gate) *Gate {
-	lines := logbuf.New(os.Stdout)
+func New(set *setup.Gate, opts ...Option) *Gate {
+	o := options{out: os.Stdout}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	lines := logbuf.New(o.out)
 	g := &Gate{
 		set: set, lines: lines, log: slog.New(lines).With("process", set.Name),
 		store: platform.NewStore(set.Store), outlet: outlet.New(), placer: place.New(), cached: cached.New(),
@@ -111,7 +128,7 @@
 	if err != nil {
 		return &Error{Addr: g.set.Ready.String(), Cause: err}
 	}
-	front, err := net.Listen("tcp", g.set.Listen.String())
+	front, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(g.set.Listen))
 	if err != nil {
 		return &Error{Addr: g.set.Listen.String(), Cause: err}
 	}
@@ -125,7 +142,7 @@
 	probes := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: time.Second}
 	go g.listen(probes, ready)
 	callers := newCallers(g)
-	go g.listen(callers, front)
+	go g.listen(callers, tapListener{front})
 	shares := &http.Server{Handler: g.shareHandler(), ReadHeaderTimeout: time.Second}
 	go g.listen(shares, share)
 	go func() {
--- /dev/null
+++ b/io/gate/gate_test.go
@@ -0,0 +1,340 @@
+package gate_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pimentoseam/io/simop"
+)
+
+func TestRoutes(t *testing.T) {
+	store := newStore(t)
+	app := newReplica(t, "i-1", "app", "")
+	s := start(t, store, "", app)
+	eventually(t, 3*time.Second, "answering", func() bool {
+		answer, _ := s.call(t, "GET", "/none/x", "early")
+		return answer != nil
+	})
+	// It knows no configuration, so it can't know that a route is missing.
+	if answer, _ := s.call(t, "GET", "/none/x", "early"); answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
+		t.Errorf("without a configuration: got %d, want 503 with a time to come back", answer.StatusCode)
+	}
+	store.Put("op/config", config(1, 3000))
+	s.ready(t)
+	answer, body := s.call(t, "GET", "/plain/x", "one")
+	if answer == nil || answer.StatusCode != 200 || answer.Header.Get("X-Response-Seal") != "i-1.one" || body != "GET /plain/x by i-1" {
+		t.Errorf("got %v %q", answer, body)
+	}
+	if answer, _ := s.call(t, "GET", "/none/x", "two"); answer == nil || answer.StatusCode != http.StatusNotFound {
+		t.Errorf("no route: got %v, want 404", answer)
+	}
+	// Entries of other writers and broken ones change nothing.
+	store.Put("servers/i-1x", []byte("\xff"))
+	store.Put("servers/i-2", []byte(`{"service":"app","address":"127.0.0.1:1","state":"asleep"}`))
+	store.Put("op/config", []byte(`{"version":9,"routes":[{"kind":"odd"}]}`))
+	time.Sleep(500 * time.Millisecond)
+	if answer, _ := s.call(t, "GET", "/plain/x", "three"); answer == nil || answer.StatusCode != 200 {
+		t.Errorf("after broken entries: got %v", answer)
+	}
+}
+
+// TestOutcomes has the only upstream of a call that may not be repeated behave badly in turn.
+func TestOutcomes(t *testing.T) {
+	reset := func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+	status := func(code int, headers ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			for i := 0; i < len(headers); i += 2 {
+				w.Header().Set(headers[i], headers[i+1])
+			}
+			w.WriteHeader(code)
+			_, _ = io.WriteString(w, "body") // A caller that left sees nothing.
+		}
+	}
+	tests := []struct {
+		name   string
+		handle http.HandlerFunc
+		want   int
+	}{
+		{"reset", reset, 502},
+		{"not executed", status(503, "X-Not-Executed", "1"), 503},
+		{"full without saying that it did not run", status(503), 502},
+		{"too many without saying that it did not run", status(429), 502},
+		{"its own timeout", status(504, "X-Response-Seal", "s"), 504},
+		{"its own failure", status(500, "X-Response-Seal", "s"), 500},
+		{"success without proof", status(200), 502},
+		{"an answer to another request", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Attempt-Id", "other")
+			w.Header().Set("X-Response-Seal", "s")
+			w.WriteHeader(200)
+		}, 504},
+		{"half an answer", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			w.Header().Set("X-Response-Seal", "s")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+		}, 502},
+		{"no answer", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 504},
+		{"bytes that are no answer", func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "\x00\x01 nonsense\r\n\r\n")
+				_ = conn.Close()
+			}
+		}, 502},
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			store.Put("op/config", config(1, 700))
+			app := newReplica(t, "i-1", "app", "")
+			var asked atomic.Int64
+			app.Handle(func(w http.ResponseWriter, r *http.Request) {
+				asked.Add(1)
+				test.handle(w, r)
+			})
+			s := start(t, store, "", app)
+			s.ready(t)
+			began := time.Now()
+			answer, _ := s.call(t, "POST", "/once/x", fmt.Sprintf("o%d", i), "X-Deadline-Remaining-Ms", "5000")
+			if answer == nil || answer.StatusCode != test.want {
+				t.Errorf("got %v, want %d", answer, test.want)
+			}
+			if took := time.Since(began); took > 1200*time.Millisecond {
+				t.Errorf("answered after %v, want within 0.5s of the route's timeout of 0.7s", took)
+			}
+			if n := asked.Load(); n != 1 {
+				t.Errorf("asked %d times, want once", n)
+			}
+			if answer != nil && answer.StatusCode == 503 && answer.Header.Get("Retry-After") == "" {
+				t.Error("a refusal without a time to come back")
+			}
+		})
+	}
+}
+
+// TestRepeats has one of two upstreams fail: a safe call goes to the other, one that may run once does not
+// if it may have run, and does if it has not.
+func TestRepeats(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	bad, good := newReplica(t, "i-1", "app", ""), newReplica(t, "i-2", "app", "")
+	var runs atomic.Int64
+	bad.Handle(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/once/") {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		runs.Add(1)
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Response-Seal", "s")
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	s := start(t, store, "", bad, good)
+	s.ready(t)
+	for i := range 40 {
+		for _, path := range []string{"/plain/x", "/once/x"} {
+			id := fmt.Sprintf("%s%d", path[1:5], i)
+			if answer, body := s.call(t, "GET", path, id); answer == nil || answer.StatusCode != 200 || !strings.HasSuffix(body, "i-2") {
+				t.Fatalf("%s: got %v %q", id, answer, body)
+			}
+			if n := good.Runs(id); n != 1 {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+	}
+	if runs.Load() == 0 {
+		t.Error("the failing upstream was never asked")
+	}
+}
+
+func engines(t *testing.T) (*simop.Replica, *simop.Replica, *simop.Replica) {
+	t.Helper()
+	return newReplica(t, "p-1", "lm", "prefill"), newReplica(t, "d-1", "lm", "decode"), newReplica(t, "d-2", "lm", "decode")
+}
+
+var prompt = []string{"X-Model", "m", "X-Token-Counts", "12000,40", "X-Prompt-Prefix", "aa:500,bb:4800,cc:6700", "X-Deadline-Remaining-Ms", "8000"}
+
+// TestModel processes a prompt at one engine and streams from another.
+func TestModel(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	p, d, e := engines(t)
+	s := start(t, store, "", p, d, e)
+	s.ready(t)
+	answer, body := s.call(t, "POST", "/model/x", "m1", prompt...)
+	if answer == nil || answer.StatusCode != 200 || strings.Count(body, "data: d-") != 3 {
+		t.Fatalf("got %v %q", answer, body)
+	}
+	if p.Reads("m1") != 1 || p.Runs("m1") != 0 || d.Runs("m1")+e.Runs("m1") != 1 {
+		t.Errorf("processed %d times, run %d+%d+%d times", p.Reads("m1"), p.Runs("m1"), d.Runs("m1"), e.Runs("m1"))
+	}
+	for _, left := range append(d.Left(), e.Left()...) {
+		if left > 8*time.Second {
+			t.Errorf("an engine was told %v are left, the caller had 8s", left)
+		}
+	}
+}
+
+// TestResume breaks a stream off in the middle of an event: one that may be resumed goes on at another
+// engine without a gap or a repeat, another one ends without its end.
+func TestResume(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	p, d, e := engines(t)
+	for _, r := range []*simop.Replica{d, e} {
+		r.Stream(6, 10*time.Millisecond, 0)
+	}
+	var cuts atomic.Int64
+	cut := func(r *simop.Replica) http.HandlerFunc {
+		return func(w http.ResponseWriter, req *http.Request) {
+			if req.Header.Get("X-Stage") == "" && req.Header.Get("Last-Event-Id") == "" {
+				cuts.Add(1)
+				r.Stream(6, 10*time.Millisecond, 3)
+				defer r.Stream(6, 10*time.Millisecond, 0)
+			}
+			r.Run(w, req)
+		}
+	}
+	d.Handle(cut(d))
+	e.Handle(cut(e))
+	s := start(t, store, "", p, d, e)
+	s.ready(t)
+	answer, body := s.call(t, "POST", "/model/x", "r1", prompt...)
+	if answer == nil {
+		t.Fatalf("broken off after %q", body)
+	}
+	var ids []string
+	for line := range strings.SplitSeq(body, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	if got := strings.Join(ids, ","); got != "1,2,3,4,5,6" || strings.Contains(body, "da\n") {
+		t.Errorf("got events %s of %q", got, body)
+	}
+	if answer, body := s.call(t, "POST", "/fixed/x", "r2", prompt...); answer != nil {
+		t.Errorf("a stream that may run once was passed on as whole: %q", body)
+	}
+	if n := d.Runs("r2") + e.Runs("r2"); n != 1 {
+		t.Errorf("a stream that may run once ran %d times", n)
+	}
+	if cuts.Load() != 2 {
+		t.Errorf("%d streams were cut, want 2", cuts.Load())
+	}
+}
+
+// TestLeave has a caller leave in the middle of a stream: the engine must hear of it within half a second.
+func TestLeave(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	d := newReplica(t, "d-1", "lm", "decode")
+	d.Stream(1000, 20*time.Millisecond, 0)
+	s := start(t, store, "", d)
+	s.ready(t)
+	conn, err := net.Dial("tcp", s.set.Listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "POST /model/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: l1\r\nX-Token-Counts: 100,40\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 2*time.Second, "running", func() bool { return d.Runs("l1") == 1 })
+	time.Sleep(100 * time.Millisecond)
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 500*time.Millisecond, "dropped", func() bool { return d.Dropped() == 1 })
+}
+
+// TestMuted lets watches fall silent and drops the history while a configuration comes: it must be in force
+// within two seconds.
+func TestMuted(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	app := newReplica(t, "i-1", "app", "")
+	s := start(t, store, "", app)
+	s.ready(t)
+	store.Set(simop.Muted)
+	store.Put("op/config", []byte(strings.ReplaceAll(string(config(5, 3000)), "/plain/", "/newer/")))
+	time.AfterFunc(time.Second, func() { store.Set(simop.Dropped) })
+	eventually(t, 2*time.Second, "in force", func() bool {
+		answer, _ := s.call(t, "GET", "/newer/x", "n")
+		return answer != nil && answer.StatusCode == 200
+	})
+}
+
+// TestCatchUp starts a gate whose store refuses it: it gets configuration and upstreams from another one,
+// and newer ones as they come. No configuration goes back.
+func TestCatchUp(t *testing.T) {
+	store, refusing := newStore(t), newStore(t)
+	store.Put("op/config", config(1, 3000))
+	refusing.Set(simop.Busy)
+	app, other := newReplica(t, "i-1", "app", ""), newReplica(t, "i-2", "app", "")
+	a := start(t, store, "", app)
+	a.ready(t)
+	c := startBeside(t, refusing, a)
+	c.ready(t)
+	if answer, _ := c.call(t, "GET", "/plain/x", "c1"); answer == nil || answer.StatusCode != 200 {
+		t.Fatalf("got %v", answer)
+	}
+	store.Put("op/config", []byte(strings.ReplaceAll(string(config(5, 3000)), "/plain/", "/newer/")))
+	store.Put("servers/i-1", app.Entry("draining"))
+	store.Put("servers/i-2", other.Entry("ready"))
+	eventually(t, 2*time.Second, "caught up", func() bool {
+		answer, body := c.call(t, "GET", "/newer/x", "c2")
+		return answer != nil && answer.StatusCode == 200 && strings.HasSuffix(body, "i-2")
+	})
+	if answer, _ := c.call(t, "GET", "/plain/x", "c3"); answer == nil || answer.StatusCode != 404 {
+		t.Errorf("a dropped route: got %v, want 404", answer)
+	}
+}
+
+// TestStop stops a gate while it streams: it is not ready at once, and the stream ends whole.
+func TestStop(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	d := newReplica(t, "d-1", "lm", "decode")
+	d.Stream(20, 50*time.Millisecond, 0)
+	s := start(t, store, "", d)
+	s.ready(t)
+	result := make(chan string, 1)
+	go func() {
+		answer, body := s.call(t, "POST", "/model/x", "s1", prompt...)
+		if answer == nil {
+			body = "broken: " + body
+		}
+		result <- body
+	}()
+	eventually(t, 2*time.Second, "running", func() bool { return d.Runs("s1") == 1 })
+	s.stop()
+	eventually(t, time.Second, "not ready", func() bool {
+		answer, err := http.Get("http://" + s.set.Ready.String() + "/api/ready")
+		if err != nil {
+			return true
+		}
+		answer.Body.Close()
+		return answer.StatusCode == http.StatusServiceUnavailable
+	})
+	// Until the balancer has noticed, new requests are still served.
+	if answer, _ := s.call(t, "POST", "/model/x", "s2", prompt...); answer == nil || answer.StatusCode != 200 {
+		t.Errorf("a request just after the stop began: got %v", answer)
+	}
+	if body := <-result; strings.Count(body, "data:") != 20 {
+		t.Errorf("got %q, want 20 events", body)
+	}
+	select {
+	case err := <-s.done:
+		s.done <- err
+	case <-time.After(s.set.Grace.D()):
+		t.Error("still running after its grace period")
+	}
+}
--- /dev/null
+++ b/io/gate/harness_test.go
@@ -0,0 +1,203 @@
+package gate_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pimentoseam/core/setup"
+	"pimentoseam/core/span"
+	"pimentoseam/io/gate"
+	"pimentoseam/io/simop"
+)
+
+const configFormat = `{"version":%d,"routes":[
+	{"name":"plain","host":"a.example","pathPrefix":"/plain/","kind":"safe","timeoutMs":%[2]d,"service":"app","maxAttempts":2},
+	{"name":"once","host":"a.example","pathPrefix":"/once/","kind":"unsafe","timeoutMs":%[2]d,"service":"app","maxAttempts":1},
+	{"name":"model","host":"a.example","pathPrefix":"/model/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":800,"gapAimMs":200,"service":"lm","maxAttempts":2,"sessionAffinity":true,"resumable":true},
+	{"name":"fixed","host":"a.example","pathPrefix":"/fixed/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":800,"gapAimMs":200,"service":"lm","maxAttempts":2,"sessionAffinity":true,"resumable":false}],
+	"services":[{"name":"app","maxConnections":100},{"name":"lm","maxConnections":100,"engine":{"slots":64,"kvCapacity":400000,"kvTokenBytes":1000,"linkMbps":1000000.0,"kvRetentionS":5.0,"reconfigureS":3.0}}],
+	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":5000}}`
+
+func config(version, timeout int) []byte {
+	return fmt.Appendf(nil, configFormat, version, timeout)
+}
+
+// site is a stand-in of the platform with one gate.
+type site struct {
+	store *simop.Store
+	set   *setup.Gate
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// start runs a gate on a store until the test ends; the store holds a configuration and the replicas.
+func start(t *testing.T, store *simop.Store, seeds string, replicas ...*simop.Replica) *site {
+	t.Helper()
+	return startSet(t, store, settings(t, store, seeds), replicas...)
+}
+
+// startBeside runs a gate that knows of another one by its settings. All gates of a site receive beats at
+// the same port, each at its own address.
+func startBeside(t *testing.T, store *simop.Store, other *site) *site {
+	t.Helper()
+	set := settings(t, store, other.set.Share.String())
+	set.Peer = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), other.set.Peer.Port())
+	return startSet(t, store, set)
+}
+
+func settings(t *testing.T, store *simop.Store, seeds string) *setup.Gate {
+	t.Helper()
+	ports := free(t, 5)
+	return &setup.Gate{
+		Name: "gate-" + ports[0].String(), Zone: "z", Listen: ports[0], Ready: ports[1], Share: ports[2], Peer: ports[3], Debug: ports[4],
+		Store: store.Addr(), Seeds: seeds,
+		Bounds: setup.Bounds{
+			Grace: span.Span(4 * time.Second), Drain: span.Span(2 * time.Second), Apply: span.Span(2 * time.Second),
+			Lease: span.Span(3 * time.Second), Ratio: 0.2, Slack: 200, Window: span.Span(10 * time.Second),
+		},
+	}
+}
+
+func startSet(t *testing.T, store *simop.Store, set *setup.Gate, replicas ...*simop.Replica) *site {
+	t.Helper()
+	for _, r := range replicas {
+		store.Put("servers/"+r.ID, r.Entry("ready"))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &site{store: store, set: set, stop: cancel, done: make(chan error, 1)}
+	g := gate.New(set, gate.WithLog(testWriter{t}))
+	go func() { s.done <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-s.done; err != nil {
+			t.Errorf("gate: %v", err)
+		}
+	})
+	return s
+}
+
+// testWriter hands log lines to the test's own log.
+type testWriter struct {
+	t *testing.T
+}
+
+// Write logs the lines.
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Logf("%s", p)
+	return len(p), nil
+}
+
+// free returns loopback addresses that nobody listens at.
+func free(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	var list []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		list = append(list, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return list
+}
+
+func newStore(t *testing.T) *simop.Store {
+	t.Helper()
+	s := simop.NewStore()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func newReplica(t *testing.T, id, service, stage string) *simop.Replica {
+	t.Helper()
+	r := simop.NewReplica(id, service, stage)
+	t.Cleanup(r.Close)
+	return r
+}
+
+// ready waits until the gate reports itself ready.
+func (s *site) ready(t *testing.T) {
+	t.Helper()
+	eventually(t, 5*time.Second, "ready", func() bool {
+		answer, err := http.Get("http://" + s.set.Ready.String() + "/api/ready")
+		if err != nil {
+			return false
+		}
+		answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	})
+}
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not %s within %v", what, within)
+}
+
+// call sends one request of a caller and returns the answer with its body; a nil answer is a broken one.
+func (s *site) call(t *testing.T, method, path, id string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.set.Listen.String()+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Attempt-Id", id)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 20 * time.Second}
+	answer, err := client.Do(req)
+	if err != nil {
+		return nil, ""
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return nil, string(body)
+	}
+	return answer, string(body)
+}
+
+// raw writes bytes to the gate on a new connection and returns the answers until it closes or falls silent.
+func (s *site) raw(t *testing.T, sent string, silence time.Duration) (statuses []int, closed bool) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.set.Listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, sent); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
+			t.Fatal(err)
+		}
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			var timeout net.Error
+			isTimeout := errorsAs(err, &timeout) && timeout.Timeout()
+			return statuses, !isTimeout
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			return statuses, true
+		}
+		if answer.StatusCode >= http.StatusOK {
+			statuses = append(statuses, answer.StatusCode)
+		}
+	}
+}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -82,16 +82,23 @@
 
 // place chooses engines; the map returned has the upstream of each engine by its id.
 func (x *exchange) place(service *route.Service, chains []cached.Chain) (place.Choice, map[string]*upstream, bool) {
-	engines, byID := x.engines(service, x.gate.cached.Held(chains, x.call.Shared()))
+	kept := x.gate.cached.Held(chains, x.call.Shared())
+	engines, byID := x.engines(service, kept, false)
 	choice, ok := x.gate.placer.Choose(x.job(service), engines)
+	if !ok {
+		engines, byID = x.engines(service, kept, true)
+		choice, ok = x.gate.placer.Choose(x.job(service), engines)
+	}
 	return choice, byID, ok
 }
 
 // maker chooses the engine for the output of a prompt that was processed in the zone read.
 func (x *exchange) maker(service *route.Service, read string) *upstream {
-	engines, byID := x.engines(service, nil)
-	if e := x.gate.placer.Maker(x.job(service), engines, read); e != nil {
-		return byID[e.ID]
+	for _, all := range []bool{false, true} {
+		engines, byID := x.engines(service, nil, all)
+		if e := x.gate.placer.Maker(x.job(service), engines, read); e != nil {
+			return byID[e.ID]
+		}
 	}
 	return nil
 }
@@ -104,13 +111,14 @@
 	}
 }
 
-// engines returns the engines that may get the request, with their upstreams by id.
-func (x *exchange) engines(service *route.Service, kept map[string]int) ([]*place.Engine, map[string]*upstream) {
+// engines returns the engines that may get the request, with their upstreams by id: those that are
+// changing their role or have just refused a request only if all are asked for.
+func (x *exchange) engines(service *route.Service, kept map[string]int, all bool) ([]*place.Engine, map[string]*upstream) {
 	told := x.gate.told()
 	byID := make(map[string]*upstream)
 	var engines []*place.Engine
 	for _, u := range x.gate.fleet.Load().services[x.service] {
-		if !u.usable() || u.resting() || x.tried[u] || told.away[u.key] {
+		if !u.usable() || x.tried[u] || (!all && (u.resting() || told.away[u.key])) {
 			continue
 		}
 		info := u.info.Load()
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -44,6 +44,9 @@
 
 // Jitter returns between half and all of d, so that processes do not act in step.
 func Jitter(d time.Duration) time.Duration {
+	if d < 2 {
+		return d
+	}
 	return d/2 + rand.N(d/2)
 }
 
--- /dev/null
+++ b/io/simop/replica.go
@@ -0,0 +1,217 @@
+package simop
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Replica is a stand-in of a plain service's replica or of a model engine.
+type Replica struct {
+	ID      string
+	Service string
+	server  *httptest.Server
+
+	mu      sync.Mutex
+	stage   string // Empty for a plain service.
+	orders  int64
+	tokens  []int64        // Fencing tokens of the accepted orders.
+	runs    map[string]int // By request id.
+	reads   map[string]int // Prompts processed only, by request id.
+	left    []time.Duration
+	handle  http.HandlerFunc // Answers requests in place of the usual way, if not nil.
+	events  int
+	pause   time.Duration // Between events.
+	cutAt   int           // Breaks streams off after so many events; 0 for never.
+	dropped int           // Requests whose callers left.
+}
+
+// NewReplica returns a running Replica; stage is empty for a plain service.
+func NewReplica(id, service, stage string) *Replica {
+	r := &Replica{ID: id, Service: service, stage: stage, runs: map[string]int{}, reads: map[string]int{}, events: 3}
+	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
+	return r
+}
+
+// Addr returns where the replica listens.
+func (r *Replica) Addr() netip.AddrPort {
+	return netip.MustParseAddrPort(r.server.Listener.Addr().String())
+}
+
+// Close ends the replica at once.
+func (r *Replica) Close() {
+	r.server.CloseClientConnections()
+	r.server.Close()
+}
+
+// Handle has f answer requests in place of the usual way; nil for the usual way.
+func (r *Replica) Handle(f http.HandlerFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handle = f
+}
+
+// Stream sets the number of events of a stream, the pause between them and after how many it breaks off.
+func (r *Replica) Stream(events int, pause time.Duration, cutAt int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events, r.pause, r.cutAt = events, pause, cutAt
+}
+
+// Runs returns how often the request ran.
+func (r *Replica) Runs(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// Reads returns how often the request's prompt was processed without a run.
+func (r *Replica) Reads(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reads[id]
+}
+
+// Left returns the times that requests stated as left, in milliseconds.
+func (r *Replica) Left() []time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Duration(nil), r.left...)
+}
+
+// Dropped returns how many requests ended because their callers left.
+func (r *Replica) Dropped() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped
+}
+
+// Orders returns the fencing tokens of the orders that were accepted.
+func (r *Replica) Orders() []int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]int64(nil), r.tokens...)
+}
+
+// Stage returns the replica's stage.
+func (r *Replica) Stage() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stage
+}
+
+// Entry returns the replica's entry in the store.
+func (r *Replica) Entry(state string) []byte {
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z","version":"v1","slots":64,"state":%q,"stage":%q,"sequence":0}`,
+		r.Service, r.Addr(), state, r.Stage())
+}
+
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	handle := r.handle
+	r.mu.Unlock()
+	switch {
+	case req.URL.Path == "/api/report":
+		r.report(w)
+	case req.URL.Path == "/api/order":
+		r.order(w, req)
+	case req.Header.Get("X-Target-Instance") != "" && req.Header.Get("X-Target-Instance") != r.ID:
+		w.Header().Set("X-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case handle != nil:
+		handle(w, req)
+	default:
+		r.Run(w, req)
+	}
+}
+
+// Run answers a request in the usual way.
+func (r *Replica) Run(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("X-Attempt-Id")
+	left, _ := strconv.ParseInt(req.Header.Get("X-Deadline-Remaining-Ms"), 10, 64)
+	r.mu.Lock()
+	r.left = append(r.left, time.Duration(left)*time.Millisecond)
+	stage, events, pause, cutAt := r.stage, r.events, r.pause, r.cutAt
+	if req.Header.Get("X-Stage") == "prefill" {
+		r.reads[id]++
+		r.mu.Unlock()
+		w.Header().Set("X-Attempt-Id", id)
+		write(w, struct {
+			Handle string `json:"kvHandle"`
+			Tokens int    `json:"tokens"`
+		}{Handle: "h-" + id, Tokens: 1})
+		return
+	}
+	r.runs[id]++
+	r.mu.Unlock()
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Response-Seal", r.ID+"."+id)
+	if stage == "" {
+		_, _ = fmt.Fprintf(w, "%s %s by %s", req.Method, req.URL.Path, r.ID) // A caller that left sees nothing.
+		return
+	}
+	r.stream(w, req, events, pause, cutAt)
+}
+
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, events int, pause time.Duration, cutAt int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	control := http.NewResponseController(w)
+	for i := after + 1; i <= events; i++ {
+		if cutAt > 0 && i > cutAt {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i) // In the middle of an event.
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.ID)
+		_ = control.Flush()
+		select {
+		case <-time.After(pause):
+		case <-req.Context().Done():
+			r.mu.Lock()
+			r.dropped++
+			r.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (r *Replica) report(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	write(w, struct {
+		Stage    string `json:"stage"`
+		Sequence int64  `json:"sequence"`
+	}{Stage: r.stage, Sequence: r.orders})
+}
+
+func (r *Replica) order(w http.ResponseWriter, req *http.Request) {
+	var o struct {
+		Stage    string `json:"stage"`
+		Holder   string `json:"holder"`
+		Token    int64  `json:"fencingToken"`
+		Expected *int64 `json:"expected"`
+	}
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil || o.Holder == "" || o.Token == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case len(r.tokens) > 0 && o.Token < r.tokens[len(r.tokens)-1]:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case o.Expected != nil && *o.Expected != r.orders:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		r.orders++
+		r.tokens = append(r.tokens, o.Token)
+		r.stage = o.Stage
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
