--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -98,6 +98,13 @@
 	return append([]int64(nil), r.tokens...)
 }
 
+// Restart forgets all that the replica knew, as at a new start under the same id.
+func (r *Replica) Restart(stage string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stage, r.orders, r.tokens = stage, 0, nil
+}
+
 // Stage returns the replica's stage.
 func (r *Replica) Stage() string {
 	r.mu.Lock()
@@ -118,11 +125,11 @@
 	switch {
 	case req.URL.Path == "/api/report":
 		r.report(w)
-	case req.URL.Path == "/api/order":
-		r.order(w, req)
 	case req.Header.Get("X-Target-Instance") != "" && req.Header.Get("X-Target-Instance") != r.ID:
 		w.Header().Set("X-Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case req.URL.Path == "/api/order":
+		r.order(w, req)
 	case handle != nil:
 		handle(w, req)
 	default:
