--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -82,15 +82,23 @@
 	}
 }
 
+// count adds to the counter of an outcome, in all and for the route.
+func (x *exchange) count(outcome string) {
+	x.gate.meter.Count(outcome)
+	x.gate.meter.Count(outcome + " " + x.route.Name)
+}
+
 // fail gives the final answer of a request that got none.
 func (x *exchange) fail(ctx context.Context, end result) {
 	log := x.gate.log.With("id", x.call.ID, "route", x.route.Name, "service", x.service, "end", string(end),
 		"arrivals", x.arrivals, "ran", x.ran, "rejects", x.rejects, "took", time.Since(x.arrived))
 	if x.left() {
+		x.count("left")
 		log.Info("caller left")
 		panic(http.ErrAbortHandler)
 	}
 	if x.begun {
+		x.count("broken")
 		log.Warn("answer broken off", "events", x.pieces)
 		panic(http.ErrAbortHandler)
 	}
@@ -99,12 +107,14 @@
 		if ctx.Err() != nil {
 			code = http.StatusGatewayTimeout
 		}
+		x.count("unknown")
 		log.Warn("outcome unknown", "status", code)
 		x.w.WriteHeader(code)
 		return
 	}
 	after := x.comeBack()
-	log.Warn("refused", "after", after)
+	x.count("refused")
+	log.Warn("refused", "why", "no upstream", "after", after)
 	setRetry(x.w, after)
 	x.w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -21,6 +21,7 @@
 	"pimentoseam/io/follow"
 	"pimentoseam/io/gossip"
 	"pimentoseam/io/logbuf"
+	"pimentoseam/io/meter"
 	"pimentoseam/io/outlet"
 	"pimentoseam/io/proc"
 	"pimentoseam/platform"
@@ -48,6 +49,7 @@
 	outlet  *outlet.Outlet
 	placer  *place.Placer
 	cached  *cached.Map
+	meter   *meter.Meter
 	gossip  *gossip.Gossip
 	peer    *http.Client
 	config  atomic.Pointer[document]
@@ -109,7 +111,7 @@
 	lines := logbuf.New(o.out)
 	g := &Gate{
 		set: set, lines: lines, log: slog.New(lines).With("process", set.Name),
-		store: platform.NewStore(set.Store), outlet: outlet.New(), placer: place.New(), cached: cached.New(),
+		store: platform.NewStore(set.Store), outlet: outlet.New(), placer: place.New(), cached: cached.New(), meter: meter.New(),
 		members: member.New(), upstreams: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
 		listed: listed{Items: make(map[string]platform.Item)},
 		began:  time.Now(), behind: make(chan *beat.Beat, 1),
@@ -143,6 +145,12 @@
 	go g.listen(probes, ready)
 	callers := newCallers(g)
 	go g.listen(callers, tapListener{front})
+	g.gauges()
+	debug, err := net.Listen("tcp", g.set.Debug.String())
+	if err != nil {
+		return &Error{Addr: g.set.Debug.String(), Cause: err}
+	}
+	go g.listen(&http.Server{Handler: g.meter.Handler(), ReadHeaderTimeout: time.Second}, debug)
 	shares := &http.Server{Handler: g.shareHandler(), ReadHeaderTimeout: time.Second}
 	go g.listen(shares, share)
 	go func() {
@@ -183,6 +191,26 @@
 	g.log.Info("stopped", "after", time.Since(began), "err", err)
 }
 
+// gauges has the meter tell what this entry believes and how much it has in progress.
+func (g *Gate) gauges() {
+	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
+	g.meter.Gauge("upstreams", func() float64 { return float64(len(g.fleet.Load().byKey)) })
+	g.meter.Gauge("entries", func() float64 { return float64(g.entries()) })
+	g.meter.Gauge("lead", func() float64 {
+		if g.lead.holds() {
+			return 1
+		}
+		return 0
+	})
+	g.meter.Gauge("running", func() float64 {
+		var n int64
+		for _, u := range g.fleet.Load().byKey {
+			n += u.running.Load()
+		}
+		return float64(n)
+	})
+}
+
 // serveReady tells the balancer whether this entry takes new connections.
 func (g *Gate) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -47,6 +47,7 @@
 		Delay: c.Delay, Target: x.route.Target, Patience: x.route.Patience(), Left: left, Timeout: x.route.Timeout,
 	})
 	if !v.Admit {
+		x.count("refused")
 		x.gate.log.Info("refused", "id", x.call.ID, "route", x.route.Name, "why", v.Why, "delay", c.Delay, "left", left, "after", v.After)
 		setRetry(x.w, v.After)
 		x.w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"pimentoseam/core/setup"
 	"pimentoseam/io/follow"
 	"pimentoseam/io/logbuf"
+	"pimentoseam/io/meter"
 	"pimentoseam/io/outlet"
 	"pimentoseam/io/proc"
 	"pimentoseam/platform"
@@ -42,6 +44,7 @@
 	lines  *logbuf.Handler
 	store  *platform.Store
 	outlet *outlet.Outlet
+	meter  *meter.Meter
 	hint   chan struct{}
 
 	mu   sync.Mutex
@@ -54,7 +57,7 @@
 	lines := logbuf.New(os.Stdout)
 	return &Tend{
 		set: set, lines: lines, log: slog.New(lines).With("process", set.Name),
-		store: platform.NewStore(set.Store), outlet: outlet.New(), hint: make(chan struct{}, 1),
+		store: platform.NewStore(set.Store), outlet: outlet.New(), meter: meter.New(), hint: make(chan struct{}, 1),
 	}
 }
 
@@ -65,6 +68,7 @@
 	go follow.New(t.store, t.log, PlanPrefix+t.set.Service, t.apply,
 		follow.WithPause(watchPause), follow.WithWait(func() time.Duration { return proc.Jitter(watchWait) })).Run(ctx)
 	go proc.Hangups(ctx, t.log)
+	go t.serveMetrics(ctx)
 	for ctx.Err() == nil {
 		wait := t.bring(ctx)
 		timer := time.NewTimer(wait)
@@ -79,6 +83,16 @@
 	return nil
 }
 
+// serveMetrics serves the metrics until ctx ends; the agent works without them.
+func (t *Tend) serveMetrics(ctx context.Context) {
+	server := &http.Server{Addr: t.set.Debug.String(), Handler: t.meter.Handler(), ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+		t.log.Error("metrics not served", "addr", t.set.Debug, "err", err)
+	}
+}
+
 // apply takes over a newer plan.
 func (t *Tend) apply(u follow.Update) {
 	for _, item := range u.Items {
@@ -162,6 +176,7 @@
 		return repeatWait
 	}
 	log.Info("order", "status", answer.StatusCode)
+	t.meter.Count("order " + strconv.Itoa(answer.StatusCode))
 	switch answer.StatusCode {
 	case http.StatusAccepted, http.StatusOK:
 		return settleEvery
