--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -47,6 +47,7 @@
 	tried    map[*upstream]bool // That are not to be tried again.
 	begun    bool               // The answer's head has been passed on.
 	first    time.Duration      // When it was, from the request's arrival.
+	by       string             // The upstream that was asked last.
 	started  func()             // Called with the first event.
 	last     string             // Id of the newest stream event that was passed on.
 	pieces   int                // Events that were passed on.
@@ -91,7 +92,7 @@
 // fail gives the final answer of a request that got none.
 func (x *exchange) fail(ctx context.Context, end result) {
 	log := x.gate.log.With("id", x.call.ID, "route", x.route.Name, "service", x.service, "end", string(end),
-		"arrivals", x.arrivals, "ran", x.ran, "rejects", x.rejects, "took", time.Since(x.arrived))
+		"upstream", x.by, "config", x.table.Version, "left", time.Until(x.deadline), "arrivals", x.arrivals, "ran", x.ran, "rejects", x.rejects, "took", time.Since(x.arrived))
 	if x.left() {
 		x.count("left")
 		log.Info("caller left")
@@ -198,7 +199,7 @@
 		return nil, abandoned
 	}
 	info := u.info.Load()
-	s.Instance = info.ID
+	s.Instance, x.by = info.ID, info.ID
 	s.Left = time.Until(x.deadline)
 	if !u.breaker.Allow() {
 		x.rejects++
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -32,7 +32,8 @@
 			return refused
 		}
 		x.gate.log.Info("placed", "id", x.call.ID, "read", name(choice.Read), "make", choice.Make.ID, "fetch", name(choice.Fetch),
-			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "shared", x.call.Prompt-x.own(), "held", heldBy(choice))
+			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "shared", x.call.Prompt-x.own(), "held", heldBy(choice),
+			"config", x.table.Version, "loads", x.gate.told().age())
 		end = x.generate(ctx, service, choice, engines, chains)
 		if !x.again(ctx, end) {
 			return end
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -249,10 +249,16 @@
 // others is the load of all other entries by upstream key.
 type others struct {
 	at   time.Time
+	old  time.Duration // Age of the oldest beat in it when it was made.
 	load map[uint32]beat.Load
 	away map[uint32]bool
 }
 
+// age returns how old the oldest part of it is.
+func (o *others) age() time.Duration {
+	return o.old + time.Since(o.at)
+}
+
 // elsewhere returns the load of the other entries that were heard lately.
 func (g *Gate) elsewhere() map[uint32]beat.Load {
 	return g.told().load
@@ -267,10 +273,12 @@
 	for _, key := range g.lead.changing() {
 		away[key] = true
 	}
+	old := time.Duration(0)
 	for _, p := range g.gossip.Peers() {
 		if !p.Alive() {
 			continue
 		}
+		old = max(old, p.Age())
 		for _, key := range p.Beat.Away {
 			away[key] = true
 		}
@@ -285,7 +293,7 @@
 			sum[l.Key] = s
 		}
 	}
-	o := &others{at: time.Now(), load: sum, away: away}
+	o := &others{at: time.Now(), old: old, load: sum, away: away}
 	g.others.Store(o)
 	return o
 }
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -101,7 +101,8 @@
 	x.count("answered")
 	x.gate.meter.Latency("first "+x.route.Name, x.first)
 	x.gate.meter.Latency("whole "+x.route.Name, time.Since(x.arrived))
-	x.gate.log.Info("answered", "id", x.call.ID, "route", x.route.Name, "status", status, "first", x.first, "took", time.Since(x.arrived),
+	x.gate.log.Info("answered", "id", x.call.ID, "route", x.route.Name, "upstream", x.by, "config", x.table.Version,
+		"status", status, "first", x.first, "took", time.Since(x.arrived),
 		"events", x.pieces, "arrivals", x.arrivals, "ran", x.ran, "rejects", x.rejects)
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -41,6 +41,11 @@
 	return p.Beat != nil && time.Since(p.heard) < quietTime
 }
 
+// Age returns how long ago the peer was heard.
+func (p *Peer) Age() time.Duration {
+	return time.Since(p.heard)
+}
+
 // Gossip sends this entry's beats and keeps those of others.
 type Gossip struct {
 	listen netip.AddrPort
