--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"pimentoseam/core/setup"
 )
@@ -26,3 +27,30 @@
 		t.Errorf("missing file: got %v, want *setup.Invalid", err)
 	}
 }
+
+// TestReadGate reads settings as the platform's template renders them where it states no bounds.
+func TestReadGate(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "gate.json")
+	text := `{"name": "front-bole-hall-1", "zone": "bole-hall", "listen": "10.1.0.38:8149", "ready": "10.1.0.38:8141", "share": "10.1.0.38:8144",
+		"peer": "10.1.0.38:7380", "debug": "10.1.0.38:9180", "drain": "1500.5ms", "store": "10.200.1.7:8142"}`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g, err := setup.ReadGate(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Drain.D() != 1500500*time.Microsecond || g.Grace.D() <= 0 || g.Window.D() <= 0 || g.Slack <= 0 {
+		t.Errorf("got %+v, want the stated drain time and defaults for the rest", g.Bounds)
+	}
+	if err := os.WriteFile(file, []byte(`{"name": "", "grace": "soon", "slack": -1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var bad *setup.Invalid
+	if _, err := setup.ReadGate(file); !errors.As(err, &bad) || len(bad.Faults) < 4 {
+		t.Errorf("got %v, want all faults", err)
+	}
+	if _, err := setup.ReadTend(file); !errors.As(err, &bad) {
+		t.Errorf("tend: got %v, want *setup.Invalid", err)
+	}
+}
--- a/io/oper/check.go
+++ b/io/oper/check.go
@@ -10,6 +10,7 @@
 
 	"pimentoseam/core/conf"
 	"pimentoseam/core/setup"
+	"pimentoseam/platform"
 )
 
 type checkCommand struct {
@@ -24,7 +25,8 @@
 
 func (c *checkCommand) define(clause *kingpin.CmdClause) {
 	clause.Arg("file", "File to check.").StringVar(&c.file)
-	clause.Flag("kind", "What the file is: config, entry or agent.").Default("config").EnumVar(&c.kind, "config", "entry", "agent")
+	clause.Flag("kind", "What the file is: config, entry, agent, gate, tend or platform (the operator's configuration there).").
+		Default("config").EnumVar(&c.kind, "config", "entry", "agent", "gate", "tend", "platform")
 	clause.Flag("schema", "Print the document's JSON Schema instead.").BoolVar(&c.schema)
 }
 
@@ -61,11 +63,23 @@
 	case "agent":
 		_, err := setup.ReadAgent(c.file)
 		return settingsFaults(err), nil
+	case "gate":
+		_, err := setup.ReadGate(c.file)
+		return settingsFaults(err), nil
+	case "tend":
+		_, err := setup.ReadTend(c.file)
+		return settingsFaults(err), nil
 	}
 	data, err := os.ReadFile(c.file)
 	if err != nil {
 		return nil, eris.Wrap(err, "check")
 	}
+	if c.kind == "platform" {
+		if _, err := platform.ReadConfig(data); err != nil {
+			return []string{err.Error()}, nil
+		}
+		return nil, nil
+	}
 	_, err = conf.Parse(data)
 	var bad *conf.Invalid
 	if eris.As(err, &bad) {
