outlet: reset the connections of requests that are given up

Ruled out: sends after the callers' leave, all were made before. Change: an unfinished request's connection is reset.

--- a/io/outlet/conn.go
+++ b/io/outlet/conn.go
@@ -126,6 +126,10 @@
 			usable = false // The upstream would take the next request for the rest of the body.
 		}
 	}
+	if !a.whole {
+		a.outlet.reset(a.conn)
+		return
+	}
 	if !usable {
 		a.outlet.discard(a.conn)
 		return
--- a/io/outlet/outlet.go
+++ b/io/outlet/outlet.go
@@ -142,7 +142,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(pastInstant, 0)) })
 	if sent, err := c.send(r); err != nil {
 		stop()
-		o.discard(c)
+		o.reset(c)
 		if !sent {
 			return nil, &NotSent{Cause: cause(ctx, err)}
 		}
@@ -151,7 +151,7 @@
 	answer, err := c.receive(r)
 	if err != nil {
 		stop()
-		o.discard(c)
+		o.reset(c)
 		return nil, &Broken{Reused: reused, Cause: cause(ctx, err)}
 	}
 	return &Answer{Response: answer, outlet: o, conn: c, stop: stop}, nil
@@ -232,6 +232,15 @@
 	return idleTime
 }
 
+// reset closes a connection in the middle of a request. What an upstream that stands still has not
+// received yet is lost with it, so that it can't start a request that was given up.
+func (o *Outlet) reset(c *conn) {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // On failure the connection is closed as usual.
+	}
+	o.discard(c)
+}
+
 func (o *Outlet) discard(c *conn) {
 	_ = c.Close() // The connection is given up whatever Close finds.
 	o.closed(c.addr)
--- a/io/outlet/outlet_test.go
+++ b/io/outlet/outlet_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -290,3 +291,30 @@
 		t.Errorf("got %v, want a *BadRequest", err)
 	}
 }
+
+// TestReset gives up requests before and in the middle of their answers: the upstream sees a reset, not the
+// end of a request that it may still start.
+func TestReset(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		ended := make(chan error, 1)
+		p := newPeer(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+			read(t, r)
+			if started {
+				write(c, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+			}
+			_, err := r.ReadByte()
+			ended <- err
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		if a, err := outlet.New().Do(ctx, p.addr(), request("a"), 0); err == nil {
+			if _, err := io.Copy(io.Discard, a); err == nil {
+				t.Error("the answer looked whole")
+			}
+			a.Close()
+		}
+		cancel()
+		if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("started %v: the upstream saw %v, want a reset", started, err)
+		}
+	}
+}
