gate: give up once the budget for repeats is spent

Change: a spent budget ends the request; only sends that arrived draw on it; what refuses connections is left out at once in place of after three failures; dead connections are found in 0.25 and 0.8 s in place of 0.6 and 1.5 s. TestExhausted (placed 4,498,134 times for 3 requests before) and TestDark failed before.

--- a/core/health/breaker.go
+++ b/core/health/breaker.go
@@ -66,6 +66,14 @@
 	b.trial = false
 }
 
+// Trip opens the breaker at once, as when nothing answers at the upstream's address.
+func (b *Breaker) Trip() {
+	b.mu.Lock()
+	b.failed = max(b.failed, defaultLimit-1)
+	b.mu.Unlock()
+	b.Failure()
+}
+
 // Cancel takes back a call that was given up for another reason.
 func (b *Breaker) Cancel() {
 	b.mu.Lock()
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -39,8 +39,8 @@
 	arrived  time.Time
 	deadline time.Time
 
-	sent     bool               // The send that is no repeat has been made.
-	prompted bool               // The first processing of the prompt, which is no repeat either, has been asked for.
+	sent     bool               // A send that is no repeat has arrived.
+	prompted bool               // So has a first request to process the prompt, which is no repeat either.
 	arrivals int                // Sends that reached an upstream.
 	ran      int                // Upstreams that may have run it.
 	rejects  int                // Upstreams that did not run it.
@@ -62,6 +62,7 @@
 	maybeRun  result = "maybe run" // It may have run; the caller has no whole answer.
 	abandoned result = "abandoned" // The caller has gone or the time is up.
 	refused   result = "refused"   // The caller was told to come back.
+	exhausted result = "exhausted" // No budget is left for another send; the last one did not run.
 )
 
 // run answers the request.
@@ -142,13 +143,9 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// permit reports whether the request may be sent to an upstream; only the first send is not a repeat.
+// permit reports whether the request may be sent to an upstream; the first that arrives is no repeat.
 func (x *exchange) permit() bool {
-	if !x.sent {
-		x.sent = true
-		return true
-	}
-	return x.budget.Repeat()
+	return !x.sent || x.budget.Repeat()
 }
 
 // again reports whether a request whose last send ended this way may be sent once more.
@@ -185,7 +182,9 @@
 func (x *exchange) send(ctx context.Context, u *upstream, s *call.Send) result {
 	u.running.Add(1)
 	defer u.running.Add(-1)
+	before := x.arrivals
 	answer, end := x.ask(ctx, u, s)
+	x.sent = x.sent || x.arrivals > before
 	if answer == nil {
 		return end
 	}
@@ -262,13 +261,14 @@
 		return abandoned
 	}
 	var full *outlet.Full
-	if errors.As(err, &full) {
-		u.breaker.Cancel()
-	} else {
+	switch {
+	case isBroken:
 		u.breaker.Failure()
-	}
-	if isBroken {
 		return maybeRun
+	case errors.As(err, &full):
+		u.breaker.Cancel()
+	default:
+		u.breaker.Trip()
 	}
 	return notRun
 }
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -338,3 +338,54 @@
 		t.Error("still running after its grace period")
 	}
 }
+
+// TestExhausted leaves no budget for repeats while engines break requests off: each request must end at once,
+// after few tries.
+func TestExhausted(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	set := settings(t, store, "")
+	set.Ratio, set.Slack = 0, 0
+	reset := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	var replicas []*simop.Replica
+	for i := range 4 {
+		p := newReplica(t, fmt.Sprintf("p-%d", i), "lm", "prefill")
+		p.Handle(reset)
+		replicas = append(replicas, p, newReplica(t, fmt.Sprintf("d-%d", i), "lm", "decode"))
+	}
+	count := &counter{}
+	s := startLogged(t, store, set, count, replicas...)
+	s.ready(t)
+	for i := range 3 {
+		began := time.Now()
+		answer, _ := s.call(t, "POST", "/model/x", fmt.Sprintf("e%d", i), prompt...)
+		if answer == nil || answer.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("got %v, want 503: no engine ran it", answer)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("answered after %v, want at once", took)
+		}
+	}
+	if n := count.lines("msg=placed"); n > 30 {
+		t.Errorf("placed %d times for 3 requests", n)
+	}
+}
+
+// TestDark has half of the engines' addresses refuse connections: requests go on elsewhere without a budget,
+// since nothing has arrived.
+func TestDark(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	set := settings(t, store, "")
+	set.Ratio, set.Slack = 0, 0
+	p, q, d := newReplica(t, "p-1", "lm", "prefill"), newReplica(t, "p-2", "lm", "prefill"), newReplica(t, "d-1", "lm", "decode")
+	dark := simop.NewReplica("p-3", "lm", "prefill")
+	s := startSet(t, store, set, p, q, d, dark)
+	s.ready(t)
+	dark.Close()
+	for i := range 20 {
+		if answer, _ := s.call(t, "POST", "/model/x", fmt.Sprintf("k%d", i), prompt...); answer == nil || answer.StatusCode != 200 {
+			t.Fatalf("request %d: got %v", i, answer)
+		}
+	}
+}
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -8,6 +8,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -66,13 +69,51 @@
 }
 
 func startSet(t *testing.T, store *simop.Store, set *setup.Gate, replicas ...*simop.Replica) *site {
+	t.Helper()
+	return startLogged(t, store, set, testWriter{t}, replicas...)
+}
+
+// counter keeps log lines to be counted.
+type counter struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write keeps the lines.
+func (c *counter) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.Write(p)
+}
+
+// lines returns how many lines hold a text, those that were left out included.
+func (c *counter) lines(with string) int {
+	time.Sleep(300 * time.Millisecond) // Lines are written in batches.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for line := range strings.Lines(c.text.String()) {
+		if strings.Contains(line, with) {
+			n++
+		}
+		if _, omitted, ok := strings.Cut(line, "omitted="); ok {
+			more, err := strconv.Atoi(strings.Fields(omitted)[0])
+			if err == nil {
+				n += more
+			}
+		}
+	}
+	return n
+}
+
+func startLogged(t *testing.T, store *simop.Store, set *setup.Gate, log io.Writer, replicas ...*simop.Replica) *site {
 	t.Helper()
 	for _, r := range replicas {
 		store.Put("servers/"+r.ID, r.Entry("ready"))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{store: store, set: set, stop: cancel, done: make(chan error, 1)}
-	g := gate.New(set, gate.WithLog(testWriter{t}))
+	g := gate.New(set, gate.WithLog(log))
 	go func() { s.done <- g.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -155,12 +155,12 @@
 		s.Source = handle
 		// Engines leave and fill up while a prompt is processed.
 		if maker = x.maker(service, c.Read.Zone); maker == nil {
-			return notRun
+			return exhausted
 		}
 	}
 	id := maker.info.Load().ID
 	if !x.permit() {
-		return notRun
+		return exhausted
 	}
 	defer maker.make(x.call.Prompt + x.call.Output)()
 	end := x.send(ctx, maker, s)
@@ -176,9 +176,8 @@
 func (x *exchange) prefill(ctx context.Context, engines map[string]*upstream, c place.Choice) (call.Handle, result) {
 	reader := engines[c.Read.ID]
 	if x.prompted && !x.budget.Repeat() {
-		return call.Handle{}, notRun
+		return call.Handle{}, exhausted
 	}
-	x.prompted = true
 	defer reader.work(c.Work, x.route.Priority)()
 	s := &call.Send{Priority: x.route.Priority, Prefill: true}
 	if c.Fetch != nil {
@@ -186,6 +185,7 @@
 	}
 	ran, arrivals, began := x.ran, x.arrivals, time.Now()
 	answer, end := x.ask(ctx, reader, s)
+	x.prompted = x.prompted || x.arrivals > arrivals
 	if answer == nil {
 		// Processing a prompt may be repeated, and a first time that was accepted is no attempt.
 		x.ran = ran
--- a/io/outlet/outlet.go
+++ b/io/outlet/outlet.go
@@ -19,11 +19,12 @@
 )
 
 const (
-	// dialTimeout is above a round trip between availability zones with a margin; a dropped opening
-	// packet is sent again only after a second.
-	dialTimeout = 600 * time.Millisecond
-	// userTimeout ends a connection whose bytes are not acknowledged, as behind a partition.
-	userTimeout = 1500 * time.Millisecond
+	// dialTimeout is above several round trips between regions; a dropped opening packet is sent
+	// again only after a second, so that nothing is gained by waiting for part of it.
+	dialTimeout = 250 * time.Millisecond
+	// userTimeout ends a connection whose bytes are not acknowledged, as behind a partition; it
+	// allows two packets in a row to be lost, which are sent again after 0.2 and 0.4 s.
+	userTimeout = 800 * time.Millisecond
 	probeIdle   = time.Second // Silence before the first keep-alive probe.
 	probeEvery  = time.Second
 	probeCount  = 2
