gate, tend: fewer calls for plans

Engines register one after another at a start, and each plan was a call of each agent. The lead plans once their number stays the same, agents pause a second between calls.

--- a/io/gate/lead.go
+++ b/io/gate/lead.go
@@ -50,6 +50,7 @@
 	at      int64 // Revision in the store; 0 if there is none.
 	read    bool  // It bears this lead's epoch.
 	planner *split.Planner
+	count   int // Engines at the last look.
 	logged  time.Time
 	changed map[string]time.Time // When an engine's order last changed.
 }
@@ -202,6 +203,11 @@
 	if len(engines) == 0 {
 		return
 	}
+	// Engines register one after another at a start; each plan is a call of every agent.
+	growing := len(engines) != h.count
+	if h.count = len(engines); growing && !h.planner.Known() {
+		return
+	}
 	prefill, changing := 0, 0
 	for _, e := range engines {
 		role := e.Role
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -27,7 +27,7 @@
 	// watchWait bounds how late a plan is seen if a watch falls silent; an engine is away for
 	// seconds at each change, so a few more matter little.
 	watchWait   = 10 * time.Second
-	watchPause  = 200 * time.Millisecond
+	watchPause  = time.Second            // Takes several plans in a row with one call.
 	lookEvery   = time.Second            // Between looks at the engine, for its restarts.
 	settleEvery = 150 * time.Millisecond // Between looks at an engine that carries out an order.
 	callTimeout = 500 * time.Millisecond // The engine is on the same VM.
