gate: leave engines that stand still, watch the store closely with two entries

Ruled out: dead connections (the keep-alive of whole seconds finds them after 2 to 3 s at best). Now a prompt is given to another engine once its engine has sent nothing for a second and the prompt's own time. TestStandstill failed before.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -251,13 +251,27 @@
 }
 
 const (
-	// watchEach is the mean time between two watches of all entries together: one of them sees a
-	// change in about this time though watches have fallen silent, and its beats tell the others.
-	watchEach = 700 * time.Millisecond
-	watchMin  = 1 * time.Second
+	// watchers is the number of entries whose watches wait for a short time only. A watch can fall
+	// silent; theirs end in time to read a change within the two seconds that it may take, and
+	// their beats tell the others.
+	watchers  = 2
+	watchFast = 900 * time.Millisecond
+	// watchSlow is the wait of the other entries, which grows with their number.
+	watchSlow     = 5 * time.Second
+	watchSlowEach = 150 * time.Millisecond
 )
 
-// watchWait returns how long this entry's next watch waits.
+// watchWait returns how long this entry's next watch waits. The entries with the first names among
+// those that hear each other watch closely.
 func (g *Gate) watchWait() time.Duration {
-	return watchMin + proc.Jitter(2*watchEach*time.Duration(g.entries()-1))
+	before := 0
+	for _, p := range g.gossip.Peers() {
+		if p.Alive() && p.Beat.Name < g.set.Name {
+			before++
+		}
+	}
+	if before < watchers {
+		return watchFast
+	}
+	return proc.Jitter(watchSlow + watchSlowEach*time.Duration(g.entries()))
 }
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -389,3 +389,31 @@
 		}
 	}
 }
+
+// TestStandstill has the only prompt engine but one take requests and say nothing: callers must not wait until
+// they leave, and the engine gets no further prompts for a while.
+func TestStandstill(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	p, q, d := newReplica(t, "p-1", "lm", "prefill"), newReplica(t, "p-2", "lm", "prefill"), newReplica(t, "d-1", "lm", "decode")
+	var asked atomic.Int64
+	q.Handle(func(_ http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		<-r.Context().Done()
+	})
+	s := start(t, store, "", p, q, d)
+	s.ready(t)
+	for i := range 12 {
+		began := time.Now()
+		answer, _ := s.call(t, "POST", "/model/x", fmt.Sprintf("z%d", i), prompt...)
+		if answer == nil || answer.StatusCode != 200 {
+			t.Fatalf("request %d: got %v", i, answer)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("request %d took %v, its caller would have left after 3.2s", i, took)
+		}
+	}
+	if n := asked.Load(); n < 1 || n > 3 {
+		t.Errorf("the engine that stands still was asked %d times", n)
+	}
+}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -184,12 +184,20 @@
 		s.Fetch = engines[c.Fetch.ID].info.Load().Addr
 	}
 	ran, arrivals, began := x.ran, x.arrivals, time.Now()
-	answer, end := x.ask(ctx, reader, s)
+	waiting, stop := context.WithCancel(ctx)
+	defer stop()
+	defer reader.watchStall(c.Work, stop)()
+	answer, end := x.ask(waiting, reader, s)
 	x.prompted = x.prompted || x.arrivals > arrivals
 	if answer == nil {
 		// Processing a prompt may be repeated, and a first time that was accepted is no attempt.
 		x.ran = ran
 		x.tried[reader] = true
+		if end == abandoned && ctx.Err() == nil && !x.left() {
+			x.gate.log.Warn("engine stands still", "id", x.call.ID, "upstream", c.Read.ID, "took", time.Since(began))
+			reader.breaker.Trip()
+			end = maybeRun
+		}
 		if end == maybeRun {
 			x.rejects++
 			end = notRun
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -123,6 +123,7 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := answer.Read(buffer)
+		u.heard.Store(time.Now().UnixNano())
 		pending = append(pending, buffer[:n]...)
 		whole := eventsEnd(pending)
 		if errors.Is(err, io.EOF) {
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -17,6 +17,7 @@
 	breaker *health.Breaker
 	moved   atomic.Bool                   // Another replica answered at its address.
 	rested  atomic.Int64                  // Unix nanoseconds until which it gets no work after it took none.
+	heard   atomic.Int64                  // Unix nanoseconds of the last bytes from it.
 	running atomic.Int64                  // Requests of this gate in progress.
 	waiting [beat.Priorities]atomic.Int64 // Nanoseconds of work of prompts without a first token.
 	making  atomic.Int64                  // Requests of this gate that generate output.
@@ -74,6 +75,30 @@
 	u.rested.Store(time.Now().Add(restTime).UnixNano())
 }
 
+// stallTime is the silence after which an engine with a prompt to process is taken to stand still,
+// beside the time that the prompt itself takes; a live one answers several prompts a second.
+const stallTime = time.Second
+
+// watchStall calls stalled once the upstream has been silent for stallTime and the work of a prompt
+// that is sent to it now. The function that it returns ends the watch.
+func (u *upstream) watchStall(work time.Duration, stalled func()) func() bool {
+	limit := stallTime + work
+	sent := time.Now()
+	var timer *time.Timer
+	timer = time.AfterFunc(limit, func() {
+		last := time.Unix(0, u.heard.Load())
+		if last.Before(sent) {
+			last = sent
+		}
+		if rest := limit - time.Since(last); rest > 0 {
+			timer.Reset(rest)
+			return
+		}
+		stalled()
+	})
+	return timer.Stop
+}
+
 func (u *upstream) resting() bool {
 	return time.Now().UnixNano() < u.rested.Load()
 }
