gate: measure silence and rest by uptime

The time of day may jump: an upstream's rest after a refusal could last as long as the jump, and a step ahead made an engine look silent. The watch of a silent engine is a goroutine of the request instead of a timer that its own function sets again.

--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -216,7 +216,7 @@
 		return nil, x.unanswered(ctx, u, err)
 	}
 	x.arrivals++
-	u.heard.Store(time.Now().UnixNano())
+	u.heard.Store(uptime())
 	reply := platform.ReadReply(answer.StatusCode, answer.Header)
 	if reply.NotRun {
 		x.rejects++
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -186,11 +186,11 @@
 	ran, arrivals, began := x.ran, x.arrivals, time.Now()
 	waiting, stop := context.WithCancel(ctx)
 	defer stop()
-	defer reader.watchStall(c.Work, stop)()
+	go reader.watchStall(waiting, c.Work, stop)
 	answer, end := x.ask(waiting, reader, s)
 	x.prompted = x.prompted || x.arrivals > arrivals
 	if answer == nil {
-		// Processing a prompt may be repeated, and a first time that was accepted is no attempt.
+		// Processing a prompt may be repeated, so the request has not run.
 		x.ran = ran
 		x.tried[reader] = true
 		if end == abandoned && ctx.Err() == nil && !x.left() {
@@ -205,7 +205,7 @@
 		return call.Handle{}, end
 	}
 	defer answer.Close()
-	x.arrivals = arrivals
+	x.arrivals = arrivals // A first time that an engine takes a prompt is no attempt.
 	body, err := answer.Whole(handleBytes)
 	if err == nil {
 		var handle call.Handle
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -123,7 +123,7 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := answer.Read(buffer)
-		u.heard.Store(time.Now().UnixNano())
+		u.heard.Store(uptime())
 		pending = append(pending, buffer[:n]...)
 		whole := eventsEnd(pending)
 		if errors.Is(err, io.EOF) {
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -8,6 +9,7 @@
 	"pimentoseam/core/beat"
 	"pimentoseam/core/health"
 	"pimentoseam/core/member"
+	"pimentoseam/io/proc"
 )
 
 // upstream is what this gate knows of one replica.
@@ -16,14 +18,22 @@
 	info    atomic.Pointer[member.Upstream]
 	breaker *health.Breaker
 	moved   atomic.Bool                   // Another replica answered at its address.
-	rested  atomic.Int64                  // Unix nanoseconds until which it gets no work after it took none.
-	heard   atomic.Int64                  // Unix nanoseconds of the last bytes from it.
+	rested  atomic.Int64                  // Until when it gets no work after it took none, by uptime.
+	heard   atomic.Int64                  // When the last bytes came from it, by uptime.
 	running atomic.Int64                  // Requests of this gate in progress.
 	waiting [beat.Priorities]atomic.Int64 // Nanoseconds of work of prompts without a first token.
 	making  atomic.Int64                  // Requests of this gate that generate output.
 	tokens  atomic.Int64                  // KV cache that those hold.
 }
 
+// started is when this process began; the time of day may jump, what is measured from here does not.
+var started = time.Now()
+
+// uptime returns the nanoseconds since this process began.
+func uptime() int64 {
+	return int64(time.Since(started))
+}
+
 func newUpstream(key uint32) *upstream {
 	return &upstream{key: key, breaker: health.New()}
 }
@@ -72,7 +82,7 @@
 const restTime = 150 * time.Millisecond
 
 func (u *upstream) rest() {
-	u.rested.Store(time.Now().Add(restTime).UnixNano())
+	u.rested.Store(uptime() + int64(restTime))
 }
 
 // stallTime is the silence after which an engine with a prompt to process is taken to stand still,
@@ -80,27 +90,22 @@
 const stallTime = time.Second
 
 // watchStall calls stalled once the upstream has been silent for stallTime and the work of a prompt
-// that is sent to it now. The function that it returns ends the watch.
-func (u *upstream) watchStall(work time.Duration, stalled func()) func() bool {
-	limit := stallTime + work
-	sent := time.Now()
-	var timer *time.Timer
-	timer = time.AfterFunc(limit, func() {
-		last := time.Unix(0, u.heard.Load())
-		if last.Before(sent) {
-			last = sent
-		}
-		if rest := limit - time.Since(last); rest > 0 {
-			timer.Reset(rest)
+// that is sent to it now, unless ctx ends before.
+func (u *upstream) watchStall(ctx context.Context, work time.Duration, stalled func()) {
+	limit, sent := stallTime+work, uptime()
+	rest := limit
+	for rest > 0 {
+		proc.Sleep(ctx, rest)
+		if ctx.Err() != nil {
 			return
 		}
-		stalled()
-	})
-	return timer.Stop
+		rest = limit - time.Duration(uptime()-max(sent, u.heard.Load()))
+	}
+	stalled()
 }
 
 func (u *upstream) resting() bool {
-	return time.Now().UnixNano() < u.rested.Load()
+	return uptime() < u.rested.Load()
 }
 
 // pickPlain chooses the upstream of a plain service that has the fewest requests in progress, in the
