--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,8 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./core/plan
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./core/parts
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./core/setup
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./core/beat
+	go test -run '^$$' -fuzz FuzzReadConfig -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzReadMember -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzReadCall -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzChat -fuzztime $(FUZZTIME) ./io/entry
