place, outlet: drop a writer, an unused method and a branch that stood twice

bytes.Buffer collects the head of a request in place of a type of our own; nobody called outlet.Forget; both branches of Choose added the same delay of a full engine. Behaviour is as before.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -112,15 +112,12 @@
 			c.Read, c.Make = e, maker
 			c.Delay += p.speed.Move(job.Prompt, job.Bytes, job.Link, e.Zone != maker.Zone) + p.speed.Network + p.speed.Step
 			cost += making
-			if maker.crowded(job) {
-				c.Delay += crowdedCost
-			}
 		} else {
 			c.Make = e
 			cost += p.load(e) + time.Duration(streamWeight*float64(c.Work+e.Waiting))
-			if e.crowded(job) {
-				c.Delay += crowdedCost
-			}
+		}
+		if c.Make.crowded(job) {
+			c.Delay += crowdedCost
 		}
 		cost += c.Delay
 		if found.Make == nil || cost < least {
--- a/io/outlet/conn.go
+++ b/io/outlet/conn.go
@@ -1,6 +1,7 @@
 package outlet
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -54,24 +55,13 @@
 			return nil, &BadRequest{Why: "a control character or space in its target, host or method"}
 		}
 	}
-	out := &writer{}
-	_, _ = fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	var out bytes.Buffer
+	_, _ = fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete) {
-		_, _ = fmt.Fprintf(out, "Content-Length: %d\r\n", len(r.Body))
+		_, _ = fmt.Fprintf(&out, "Content-Length: %d\r\n", len(r.Body))
 	}
-	err := r.Header.WriteSubset(out, map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true})
-	return append(out.data, '\r', '\n'), err
-}
-
-// writer collects bytes.
-type writer struct {
-	data []byte
-}
-
-// Write never fails.
-func (w *writer) Write(p []byte) (int, error) {
-	w.data = append(w.data, p...)
-	return len(p), nil
+	err := r.Header.WriteSubset(&out, map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true})
+	return append(out.Bytes(), '\r', '\n'), err
 }
 
 // receive reads the answer's head; it reads past answers that are not for the request.
--- a/io/outlet/outlet.go
+++ b/io/outlet/outlet.go
@@ -279,17 +279,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address.
-func (o *Outlet) Forget(addr netip.AddrPort) {
-	o.mu.Lock()
-	list := o.idle[addr]
-	o.idle[addr] = nil
-	o.mu.Unlock()
-	for _, c := range list {
-		o.discard(c)
-	}
-}
-
 // quiet reports whether an idle connection is open and nothing has arrived on it unasked.
 func (c *conn) quiet() bool {
 	if c.reader.Buffered() > 0 || !time.Now().Before(c.expires) {
