door: hold callers to the limits of the configuration

Cause: head time, head size and idle time of callers' connections were constants (3 s, 32 KB, 20 s), whatever the operator's configuration stated. A body could take 10 s although its route gave the request 3 s, and the connection stayed open after the 408 because the server waited for the rest of the body. Ruled out: changing the fields of a running http.Server (read without a lock) and own deadlines in the connection (the server sets them anew). Change: io/door opens a server for each set of limits; new connections go to the newest, the one before closes its idle connections and ends after its requests. A body gets at most the time that is left of the request. io/gate/tap.go moves to io/door. Before: TestLimits had no way to pass; TestFraming/half_a_body got no answer in 4 s. After: both pass; TestFraming has rows for HEAD, bare line feeds and returns, no colon, no version, long chunk sizes and unknown expectations; TestHalfClosed states that a half-closed channel counts as a caller that left.

--- a/io/gate/tap.go
+++ b/io/door/tap.go
@@ -1,4 +1,4 @@
-package gate
+package door
 
 import (
 	"bytes"
@@ -54,17 +54,3 @@
 		}
 	}
 }
-
-// tapListener puts a tap on each connection.
-type tapListener struct {
-	*net.TCPListener
-}
-
-// Accept returns the next connection.
-func (l tapListener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
-	}
-	return &tap{TCPConn: c}, nil
-}
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -1,58 +1,34 @@
 package gate
 
 import (
-	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"pimentoseam/core/call"
-	"pimentoseam/io/socket"
+	"pimentoseam/io/door"
 	"pimentoseam/platform"
 )
 
 const (
-	// Limits until the configuration states its own, which are near these.
-	headTime  = 3 * time.Second
-	idleTime  = 20 * time.Second
-	headBytes = 32 << 10
+	// bodyBytes bounds a body until the configuration states its own limit.
 	bodyBytes = 8 << 20
-	// bodyTime bounds how long a body may take to arrive if the caller states no time.
+	// bodyTime bounds how long a body may take to arrive if the caller's time is longer.
 	bodyTime = 10 * time.Second
 	// plainTime is the deadline of a request if neither the caller nor the route states one.
 	plainTime = 30 * time.Second
 )
 
-// newCallers returns the server for callers.
-func newCallers(g *Gate) *http.Server {
-	return &http.Server{
-		Handler:           http.HandlerFunc(g.serve),
-		ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headBytes,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		},
-	}
-}
-
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
-
-// left reports whether the caller has closed its connection. The request's context tells that too, but
-// late in a process that has just been frozen.
+// left reports whether the caller has closed its connection.
 func (x *exchange) left() bool {
-	if x.r.Context().Err() != nil {
-		return true
-	}
-	c, ok := x.r.Context().Value(connKey{}).(*tap)
-	return ok && socket.Look(c.TCPConn) == socket.Closed
+	return door.Left(x.r)
 }
 
 // serve takes one request from its route to its answer.
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if c, ok := r.Context().Value(connKey{}).(*tap); ok && c.ambiguous(r) {
+	if door.Ambiguous(r) {
 		g.log.Info("invalid", "host", r.Host, "err", "a length beside a transfer coding")
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusBadRequest)
@@ -109,17 +85,17 @@
 		limit = bodyBytes
 	}
 	control := http.NewResponseController(x.w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+	if err := control.SetReadDeadline(time.Now().Add(min(bodyTime, time.Until(x.deadline)))); err != nil {
 		x.gate.log.Error("no read deadline", "id", x.call.ID, "err", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if e := control.SetReadDeadline(time.Time{}); e != nil {
-		x.gate.log.Error("no read deadline", "id", x.call.ID, "err", e)
-	}
 	large := new(http.MaxBytesError)
 	switch {
 	case err == nil:
 		x.body = body
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			x.gate.log.Error("no read deadline", "id", x.call.ID, "err", err)
+		}
 		return true
 	case errors.As(err, &large):
 		x.gate.log.Info("body too large", "id", x.call.ID, "limit", limit)
--- a/io/gate/config.go
+++ b/io/gate/config.go
@@ -38,9 +38,17 @@
 			break
 		}
 	}
+	g.limit()
 	g.log.Info("config", "version", table.Version, "revision", item.Revision, "routes", len(table.Routes()), "from", from)
 }
 
+// limit has the door keep to the limits of the configuration in force.
+func (g *Gate) limit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.door.Limit(g.config.Load().table.Limits)
+}
+
 // version returns the version of the configuration in force, 0 for none.
 func (g *Gate) version() int64 {
 	if d := g.config.Load(); d != nil {
--- a/io/gate/framing_test.go
+++ b/io/gate/framing_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -52,16 +56,25 @@
 		{"bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n", []int{408}, true, false},
 		{"long body", head + "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), []int{413}, true, false},
 		{"long head", get + "X-Long: " + strings.Repeat("x", 60000) + "\r\n\r\n", []int{431}, true, false},
+		{"head request", "HEAD /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %\r\n\r\n", []int{200}, false, true},
+		{"head request and another", "HEAD /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %\r\n\r\n" + get + "\r\n", []int{200, 200}, false, true},
+		{"bare line feeds", "GET /plain/x HTTP/1.1\nHost: a.example\nX-Attempt-Id: %\n\n", []int{200}, false, true},
+		{"bare line feed before a hidden head", head + "Content-Length: 4\n\nbody" + get + "\r\n", []int{200, 200}, false, true},
+		{"bare carriage return", get + "X-Bad: a\rb\r\n\r\n", []int{400}, true, false},
+		{"no colon", get + "odd\r\n\r\n", []int{400}, true, false},
+		{"no version", "GET /plain/x\r\n\r\n", []int{400}, true, false},
+		{"long chunk size", head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nbody\r\n0\r\n\r\n" + hidden, []int{408}, true, false},
+		{"unknown expectation", head + "Content-Length: 4\r\nExpect: wonders\r\n\r\nbody", []int{417}, true, false},
 		{"half a head", "GET /plain/x HTTP/1.1\r\nHost:", nil, true, false},
-		{"half a body", head + "Content-Length: 10\r\n\r\nbody", nil, false, false},
+		{"half a body", head + "Content-Length: 10\r\n\r\nbody", []int{408}, true, false},
 		{"unreadable time left", get + "X-Deadline-Remaining-Ms: soon\r\n\r\n", []int{400}, false, false},
 	}
 	for i, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			id := "r" + string(rune('a'+i))
+			id := fmt.Sprintf("r%d", i)
 			silence := 500 * time.Millisecond
-			if test.name == "half a head" {
-				silence = 6 * time.Second
+			if strings.HasPrefix(test.name, "half a ") {
+				silence = 4 * time.Second // Above the route's time.
 			}
 			statuses, closed := s.raw(t, strings.ReplaceAll(test.sent, "%", id), silence)
 			if test.name == "folded line" {
@@ -86,3 +99,77 @@
 		t.Errorf("a hidden request ran %d times", n)
 	}
 }
+
+// TestLimits changes the limits of a running gate: new connections are held to the newest, and the idle ones of
+// before are closed.
+func TestLimits(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	app := newReplica(t, "i-1", "app", "")
+	s := start(t, store, "", app)
+	s.ready(t)
+	kept, err := net.Dial("tcp", s.set.Listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	if _, err := io.WriteString(kept, "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: k1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	request := "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: l1\r\nX-Long: " + strings.Repeat("x", 10000) + "\r\n\r\n"
+	if statuses, _ := s.raw(t, request, 300*time.Millisecond); !slices.Equal(statuses, []int{200}) {
+		t.Fatalf("within the limits: got %v", statuses)
+	}
+	narrow := strings.NewReplacer(`"maxHeaderBytes":16384`, `"maxHeaderBytes":2048`,
+		`"headerTimeoutMs":1000`, `"headerTimeoutMs":300`, `"idleTimeoutMs":5000`, `"idleTimeoutMs":500`)
+	store.Put("op/config", []byte(narrow.Replace(string(config(2, 3000)))))
+	eventually(t, 2*time.Second, "held to the new limit", func() bool {
+		statuses, _ := s.raw(t, request, 300*time.Millisecond)
+		return slices.Equal(statuses, []int{http.StatusRequestHeaderFieldsTooLarge})
+	})
+	for name, sent := range map[string]string{
+		"half a head": "GET /plain/x HTTP/1.1\r\nHost:",
+		"idle":        "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: l2\r\n\r\n",
+	} {
+		if _, closed := s.raw(t, sent, time.Second); !closed {
+			t.Errorf("%s: still open after a second", name)
+		}
+	}
+	if err := kept.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, kept); err != nil {
+		t.Errorf("an idle connection of before: %v", err)
+	}
+}
+
+// TestHalfClosed has a caller close its side once it has sent a request. That looks like a caller that left,
+// so the upstream must hear of it, and the connection ends without an answer that looks whole.
+func TestHalfClosed(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	d := newReplica(t, "d-1", "lm", "decode")
+	d.Stream(1000, 20*time.Millisecond, 0)
+	s := start(t, store, "", d)
+	s.ready(t)
+	conn, err := net.Dial("tcp", s.set.Listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST /model/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: h1\r\nX-Token-Counts: 100,40\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 2*time.Second, "running", func() bool { return d.Runs("h1") == 1 })
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 500*time.Millisecond, "dropped", func() bool { return d.Dropped() == 1 })
+	if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	rest, err := io.ReadAll(conn)
+	if err != nil || strings.HasSuffix(string(rest), "0\r\n\r\n") {
+		t.Errorf("got an end of %q and %v, want a stream that is cut short", rest[max(0, len(rest)-20):], err)
+	}
+}
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -59,7 +59,7 @@
 	t.Helper()
 	ports := free(t, 5)
 	return &setup.Gate{
-		Name: "gate-" + ports[0].String(), Zone: "z", Listen: ports[0], Ready: ports[1], Share: ports[2], Peer: ports[3], Debug: ports[4],
+		Name: fmt.Sprintf("gate-%d", ports[0].Port()), Zone: "z", Listen: ports[0], Ready: ports[1], Share: ports[2], Peer: ports[3], Debug: ports[4],
 		Store: store.Addr(), Seeds: seeds,
 		Bounds: setup.Bounds{
 			Grace: span.Span(4 * time.Second), Drain: span.Span(2 * time.Second), Apply: span.Span(2 * time.Second),
@@ -107,13 +107,17 @@
 }
 
 func startLogged(t *testing.T, store *simop.Store, set *setup.Gate, log io.Writer, replicas ...*simop.Replica) *site {
+	t.Helper()
+	return startGate(t, store, set, gate.New(set, gate.WithLog(log)), replicas...)
+}
+
+func startGate(t *testing.T, store *simop.Store, set *setup.Gate, g *gate.Gate, replicas ...*simop.Replica) *site {
 	t.Helper()
 	for _, r := range replicas {
 		store.Put("servers/"+r.ID, r.Entry("ready"))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{store: store, set: set, stop: cancel, done: make(chan error, 1)}
-	g := gate.New(set, gate.WithLog(log))
 	go func() { s.done <- g.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
@@ -224,11 +228,12 @@
 		t.Fatal(err)
 	}
 	reader := bufio.NewReader(conn)
+	method, _, _ := strings.Cut(sent, " ")
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			t.Fatal(err)
 		}
-		answer, err := http.ReadResponse(reader, nil)
+		answer, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			var timeout net.Error
 			isTimeout := errorsAs(err, &timeout) && timeout.Timeout()
@@ -238,6 +243,7 @@
 			return statuses, true
 		}
 		if answer.StatusCode >= http.StatusOK {
+			method = http.MethodGet // Only the first request is of another kind where that matters.
 			statuses = append(statuses, answer.StatusCode)
 		}
 	}
