gate: go on from the same kv cache, and free one that nobody takes

Cause: when a decode engine refused a request whose prompt had been processed elsewhere, the prompt was processed once more and the first KV cache stayed in its engine's memory until it expired, 5 s later. Ruled out: freeing alone, which still pays for the prompt twice. Change: a second decode engine is asked with the same handle, and what no engine has taken is freed by a call to its engine. Before: TestUntaken saw the prompt processed twice after one refusal and a handle left over. After: once, and none.

--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -420,3 +420,51 @@
 		t.Errorf("the engine that stands still was asked %d times", n)
 	}
 }
+
+// TestUntaken has decode engines refuse requests whose prompts were processed elsewhere: a second one is asked
+// to go on from the same KV cache, and if it refuses too the cache is freed at once.
+func TestUntaken(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	p, d, e := engines(t)
+	var refusals, most atomic.Int64
+	gate := func(r *simop.Replica) http.HandlerFunc {
+		return func(w http.ResponseWriter, req *http.Request) {
+			source := req.Header.Get("X-Kv-Source")
+			if refusals.Add(1) <= most.Load() {
+				w.Header().Set("X-Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			_, handle, _ := strings.Cut(source, "/")
+			if source != "" && !p.Take(handle) {
+				w.Header().Set("X-Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			r.Run(w, req)
+		}
+	}
+	d.Handle(gate(d))
+	e.Handle(gate(e))
+	s := start(t, store, "", p, d, e)
+	s.ready(t)
+	for i, test := range []struct {
+		refusals int64
+		status   int
+		reads    int
+	}{{0, 200, 1}, {1, 200, 1}, {100, 503, 1}} {
+		refusals.Store(0)
+		most.Store(test.refusals)
+		id := fmt.Sprintf("u%d", i)
+		answer, _ := s.call(t, "POST", "/model/x", id, prompt...)
+		if answer == nil || answer.StatusCode != test.status {
+			t.Errorf("%d refusals: got %v, want %d", test.refusals, answer, test.status)
+		}
+		if n := p.Reads(id); n != test.reads {
+			t.Errorf("%d refusals: the prompt was processed %d times, want %d", test.refusals, n, test.reads)
+		}
+		eventually(t, time.Second, "free", func() bool { return p.Kept() == 0 })
+		time.Sleep(200 * time.Millisecond) // Above the rest of an engine that refused.
+	}
+}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -11,6 +11,7 @@
 	"pimentoseam/core/place"
 	"pimentoseam/core/route"
 	"pimentoseam/core/shed"
+	"pimentoseam/io/outlet"
 	"pimentoseam/platform"
 )
 
@@ -107,7 +108,7 @@
 
 func (x *exchange) job(service *route.Service) *place.Job {
 	return &place.Job{
-		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set.Zone, Target: x.route.Target,
+		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set().Zone, Target: x.route.Target,
 		Bytes: service.Engine.Bytes, Link: service.Engine.Link,
 		Urgent: x.table.Urgent(x.route, x.service),
 	}
@@ -139,25 +140,52 @@
 // generate carries out a choice.
 func (x *exchange) generate(ctx context.Context, service *route.Service, c place.Choice, engines map[string]*upstream, chains []cached.Chain) result {
 	s := &call.Send{Priority: x.route.Priority, Last: x.last}
+	if c.Read != nil {
+		return x.handOver(ctx, service, c, engines, chains, s)
+	}
 	maker := engines[c.Make.ID]
-	if c.Read == nil {
-		if c.Fetch != nil {
-			s.Fetch = engines[c.Fetch.ID].info.Load().Addr
-		}
-		x.started = maker.work(c.Work, x.route.Priority)
-		defer x.started()
-	} else {
-		handle, end := x.prefill(ctx, engines, c)
-		if end != done {
-			return end
-		}
-		x.gate.noteParts(engines[c.Read.ID], c.Read.ID, chains)
-		s.Source = handle
+	if c.Fetch != nil {
+		s.Fetch = engines[c.Fetch.ID].info.Load().Addr
+	}
+	x.started = maker.work(c.Work, x.route.Priority)
+	defer x.started()
+	return x.output(ctx, maker, s, chains)
+}
+
+// sameHandle bounds the engines that are asked to go on from one KV cache: if two can't have it, it is
+// rather gone than they are full.
+const sameHandle = 2
+
+// handOver has the prompt processed at one engine and the output generated at another. A KV cache that no
+// engine has taken is freed.
+func (x *exchange) handOver(ctx context.Context, service *route.Service, c place.Choice, engines map[string]*upstream, chains []cached.Chain, s *call.Send) result {
+	handle, end := x.prefill(ctx, engines, c)
+	if end != done {
+		return end
+	}
+	reader := engines[c.Read.ID]
+	x.gate.noteParts(reader, c.Read.ID, chains)
+	s.Source = handle
+	end = exhausted
+	for range sameHandle {
 		// Engines leave and fill up while a prompt is processed.
-		if maker = x.maker(service, c.Read.Zone); maker == nil {
-			return exhausted
+		maker := x.maker(service, c.Read.Zone)
+		if maker == nil {
+			break
+		}
+		end = x.output(ctx, maker, s, chains)
+		if end != notRun || !x.again(ctx, end) {
+			break
 		}
 	}
+	if end != done && !x.begun {
+		go x.gate.free(c.Read.ID, handle, x.call.ID)
+	}
+	return end
+}
+
+// output has an engine generate the output.
+func (x *exchange) output(ctx context.Context, maker *upstream, s *call.Send, chains []cached.Chain) result {
 	id := maker.info.Load().ID
 	if !x.permit() {
 		return exhausted
@@ -172,6 +200,26 @@
 	return end
 }
 
+// freeTime bounds the call that frees a KV cache; the engine gives it up by itself some seconds later.
+const freeTime = time.Second
+
+// free tells an engine that nobody will take a KV cache.
+func (g *Gate) free(instance string, handle call.Handle, request string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTime)
+	defer cancel()
+	status := 0
+	answer, err := g.outlet.Do(ctx, handle.Addr, &outlet.Request{
+		Method: http.MethodDelete, Target: platform.FreePath(handle), Host: handle.Addr.String(),
+		Header: platform.InstanceHeader(instance),
+	}, 0)
+	if err == nil {
+		status = answer.StatusCode
+		_, err = answer.Whole(handleBytes)
+		answer.Close()
+	}
+	g.log.Info("freed", "id", request, "upstream", instance, "handle", handle.ID, "status", status, "err", err)
+}
+
 // prefill has the prompt processed and returns the handle of its KV cache.
 func (x *exchange) prefill(ctx context.Context, engines map[string]*upstream, c place.Choice) (call.Handle, result) {
 	reader := engines[c.Read.ID]
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,14 +27,15 @@
 	left    []time.Duration
 	handle  http.HandlerFunc // Answers requests in place of the usual way, if not nil.
 	events  int
-	pause   time.Duration // Between events.
-	cutAt   int           // Breaks streams off after so many events; 0 for never.
-	dropped int           // Requests whose callers left.
+	pause   time.Duration   // Between events.
+	cutAt   int             // Breaks streams off after so many events; 0 for never.
+	dropped int             // Requests whose callers left.
+	kept    map[string]bool // Handles of prompts that were processed and not taken yet.
 }
 
 // NewReplica returns a running Replica; stage is empty for a plain service.
 func NewReplica(id, service, stage string) *Replica {
-	r := &Replica{ID: id, Service: service, stage: stage, runs: map[string]int{}, reads: map[string]int{}, events: 3}
+	r := &Replica{ID: id, Service: service, stage: stage, runs: map[string]int{}, reads: map[string]int{}, kept: map[string]bool{}, events: 3}
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	return r
 }
@@ -91,6 +93,22 @@
 	return r.dropped
 }
 
+// Kept returns how many processed prompts nobody has taken or freed.
+func (r *Replica) Kept() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.kept)
+}
+
+// Take hands over the KV cache of a handle, as another engine asks for it.
+func (r *Replica) Take(handle string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	had := r.kept[handle]
+	delete(r.kept, handle)
+	return had
+}
+
 // Orders returns the fencing tokens of the orders that were accepted.
 func (r *Replica) Orders() []int64 {
 	r.mu.Lock()
@@ -118,6 +136,9 @@
 		r.Service, r.Addr(), state, r.Stage())
 }
 
+// freePath is where a handle is freed by its id.
+const freePath = "/api/kv-handle/"
+
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
 	handle := r.handle
@@ -130,6 +151,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case req.URL.Path == "/api/order":
 		r.order(w, req)
+	case strings.HasPrefix(req.URL.Path, freePath):
+		if !r.Take(strings.TrimPrefix(req.URL.Path, freePath)) {
+			w.WriteHeader(http.StatusNotFound)
+		}
 	case handle != nil:
 		handle(w, req)
 	default:
@@ -146,6 +171,7 @@
 	stage, events, pause, cutAt := r.stage, r.events, r.pause, r.cutAt
 	if req.Header.Get("X-Stage") == "prefill" {
 		r.reads[id]++
+		r.kept["h-"+id] = true
 		r.mu.Unlock()
 		w.Header().Set("X-Attempt-Id", id)
 		write(w, struct {
