proc: read settings again on a signal and when their file changes

Cause: SIGHUP was only logged and a silent change of the settings file was not seen; all settings waited for the next start. Change: gate and tend read their file on SIGHUP and within a second of a change. Store, seeds, grace, budget ratio and slack and the other bounds are in force at once; names, addresses, zone and the budget's window keep until the next start, and one log line names both kinds. A file that can't be used changes nothing and is logged as an error.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -14,11 +14,11 @@
 
 // Budget permits repeats of at most ratio x first sends + slack in a window, slack divided by the entries.
 type Budget struct {
-	ratio float64
-	slack float64
 	width time.Duration
 
 	mu      sync.Mutex
+	ratio   float64
+	slack   float64
 	entries int
 	parts   [buckets + 1]part
 	start   time.Time
@@ -35,6 +35,13 @@
 	return &Budget{ratio: ratio, slack: slack, width: window / buckets, entries: 1, start: time.Now()}
 }
 
+// Bound replaces the ratio and the slack; what has been counted stays.
+func (b *Budget) Bound(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+}
+
 // Share tells the budget how many entries divide it.
 func (b *Budget) Share(entries int) {
 	b.mu.Lock()
--- a/io/gate/demand.go
+++ b/io/gate/demand.go
@@ -21,7 +21,7 @@
 // rate returns the prompt work asked for since the last call, in engine-seconds a second.
 func (d *demand) rate(g *Gate) float64 {
 	now := time.Now()
-	total := d.one(g.set.Name, g.began.UnixNano(), g.prompted.Load(), now)
+	total := d.one(g.set().Name, g.began.UnixNano(), g.prompted.Load(), now)
 	for _, p := range g.gossip.Peers() {
 		if p.Alive() {
 			total += d.peer(p.Beat, now)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -18,6 +18,7 @@
 	"pimentoseam/core/member"
 	"pimentoseam/core/place"
 	"pimentoseam/core/setup"
+	"pimentoseam/io/door"
 	"pimentoseam/io/follow"
 	"pimentoseam/io/gossip"
 	"pimentoseam/io/logbuf"
@@ -42,7 +43,8 @@
 
 // Gate serves callers.
 type Gate struct {
-	set     *setup.Gate
+	own     atomic.Pointer[setup.Gate] // The settings in force.
+	file    string                     // They are read from; empty for none.
 	log     *slog.Logger
 	lines   *logbuf.Handler
 	store   *platform.Store
@@ -56,6 +58,7 @@
 	fleet   atomic.Pointer[fleet]
 	others  atomic.Pointer[others]
 	lead    *lead
+	door    *door.Door // Set before anything else runs.
 	demand  demand
 	leaving atomic.Bool
 	began   time.Time
@@ -94,7 +97,13 @@
 type Option func(*options)
 
 type options struct {
-	out io.Writer
+	out  io.Writer
+	file string
+}
+
+// WithFile has the settings read again from a file on SIGHUP and whenever it changes.
+func WithFile(path string) Option {
+	return func(o *options) { o.file = path }
 }
 
 // WithLog sends the log lines to w in place of the standard output.
@@ -110,45 +119,56 @@
 	}
 	lines := logbuf.New(o.out)
 	g := &Gate{
-		set: set, lines: lines, log: slog.New(lines).With("process", set.Name),
+		file: o.file, lines: lines, log: slog.New(lines).With("process", set.Name),
 		store: platform.NewStore(set.Store), outlet: outlet.New(), placer: place.New(), cached: cached.New(), meter: meter.New(),
 		members: member.New(), upstreams: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
 		listed: listed{Items: make(map[string]platform.Item)},
 		began:  time.Now(), behind: make(chan *beat.Beat, 1),
 		peer: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 	}
+	g.own.Store(set)
 	g.gossip = gossip.New(set.Peer, g.log, g.beat, g.hear)
 	g.lead = newLead(g)
 	g.fleet.Store(&fleet{})
 	return g
 }
 
+// set returns the settings in force.
+func (g *Gate) set() *setup.Gate {
+	return g.own.Load()
+}
+
 // Run serves until ctx ends, then finishes the requests in progress; its error is an *Error.
 func (g *Gate) Run(ctx context.Context) error {
 	defer g.lines.Close()
-	ready, err := net.Listen("tcp", g.set.Ready.String())
+	ready, err := net.Listen("tcp", g.set().Ready.String())
 	if err != nil {
-		return &Error{Addr: g.set.Ready.String(), Cause: err}
+		return &Error{Addr: g.set().Ready.String(), Cause: err}
 	}
-	front, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(g.set.Listen))
+	front, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(g.set().Listen))
 	if err != nil {
-		return &Error{Addr: g.set.Listen.String(), Cause: err}
+		return &Error{Addr: g.set().Listen.String(), Cause: err}
 	}
-	share, err := net.Listen("tcp", g.set.Share.String())
+	share, err := net.Listen("tcp", g.set().Share.String())
 	if err != nil {
-		return &Error{Addr: g.set.Share.String(), Cause: err}
+		return &Error{Addr: g.set().Share.String(), Cause: err}
 	}
-	g.log.Info("started", "listen", g.set.Listen, "zone", g.set.Zone, "first", g.set.First)
+	g.log.Info("started", "listen", g.set().Listen, "zone", g.set().Zone, "first", g.set().First)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	probes := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: time.Second}
 	go g.listen(probes, ready)
-	callers := newCallers(g)
-	go g.listen(callers, tapListener{front})
+	callers := door.New(front, http.HandlerFunc(g.serve), g.log)
+	g.door = callers
+	go func() {
+		if err := callers.Serve(); err != nil {
+			g.log.Error("listener ended", "addr", front.Addr(), "err", err)
+		}
+	}()
 	g.gauges()
-	debug, err := net.Listen("tcp", g.set.Debug.String())
+	debug, err := net.Listen("tcp", g.set().Debug.String())
 	if err != nil {
-		return &Error{Addr: g.set.Debug.String(), Cause: err}
+		return &Error{Addr: g.set().Debug.String(), Cause: err}
 	}
 	go g.listen(&http.Server{Handler: g.meter.Handler(), ReadHeaderTimeout: time.Second}, debug)
 	shares := &http.Server{Handler: g.shareHandler(), ReadHeaderTimeout: time.Second}
@@ -166,7 +186,7 @@
 		follow.WithPause(memberPause), follow.WithWait(g.watchWait), follow.WithLost(g.membersLost)).Run(work)
 	go g.sweep(work)
 	go g.lead.run(ctx)
-	go proc.Hangups(work, g.log)
+	go proc.Reload(work, g.log, g.file, g.reload)
 	<-ctx.Done()
 	g.stop(callers)
 	return nil
@@ -179,15 +199,15 @@
 }
 
 // stop lets the balancer notice, then closes the listener and finishes the requests in progress.
-func (g *Gate) stop(callers *http.Server) {
+func (g *Gate) stop(callers *door.Door) {
 	g.leaving.Store(true)
 	began := time.Now()
-	g.log.Info("stopping", "grace", g.set.Grace.D())
-	callers.SetKeepAlivesEnabled(false)
-	proc.Sleep(context.Background(), min(noticeTime, g.set.Grace.D()/2))
-	ctx, cancel := context.WithTimeout(context.Background(), g.set.Grace.D()-time.Since(began)-lastMoment)
+	g.log.Info("stopping", "grace", g.set().Grace.D())
+	callers.Quiet()
+	proc.Sleep(context.Background(), min(noticeTime, g.set().Grace.D()/2))
+	ctx, cancel := context.WithTimeout(context.Background(), g.set().Grace.D()-time.Since(began)-lastMoment)
 	defer cancel()
-	err := callers.Shutdown(ctx)
+	err := callers.Shut(ctx)
 	g.log.Info("stopped", "after", time.Since(began), "err", err)
 }
 
@@ -243,7 +263,7 @@
 	defer g.mu.Unlock()
 	b, ok := g.budgets[service]
 	if !ok {
-		b = budget.New(g.set.Ratio, g.set.Slack, g.set.Window.D())
+		b = budget.New(g.set().Ratio, g.set().Slack, g.set().Window.D())
 		g.budgets[service] = b
 	}
 	b.Share(g.entries())
@@ -266,7 +286,7 @@
 func (g *Gate) watchWait() time.Duration {
 	before := 0
 	for _, p := range g.gossip.Peers() {
-		if p.Alive() && p.Beat.Name < g.set.Name {
+		if p.Alive() && p.Beat.Name < g.set().Name {
 			before++
 		}
 	}
--- a/io/gate/lead.go
+++ b/io/gate/lead.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return
 	}
-	put := platform.Put{Key: leadKey, Value: []byte(l.gate.set.Name), Lease: lease}
+	put := platform.Put{Key: leadKey, Value: []byte(l.gate.set().Name), Lease: lease}
 	if _, _, err := l.gate.store.Swap(ctx, []platform.Expect{{Key: leadKey}}, []platform.Put{put}, nil); err != nil {
 		// If the write took effect after all, the lease ends unrenewed.
 		l.gate.log.Info("lead not gained", "err", err)
@@ -322,7 +322,7 @@
 		p = &plan.Plan{}
 	}
 	h.at = item.Revision
-	return l.write(ctx, name, h, p.Take(l.gate.set.Name))
+	return l.write(ctx, name, h, p.Take(l.gate.set().Name))
 }
 
 // write swaps in a plan if the lease still holds.
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -40,12 +40,12 @@
 
 // register makes this entry known to the others and learns of them.
 func (g *Gate) register(ctx context.Context) {
-	for _, seed := range strings.Split(g.set.Seeds, ",") {
+	for _, seed := range strings.Split(g.set().Seeds, ",") {
 		if addr, err := netip.ParseAddrPort(seed); err == nil {
-			g.gossip.Add(netip.AddrPortFrom(addr.Addr(), g.set.Peer.Port()))
+			g.gossip.Add(netip.AddrPortFrom(addr.Addr(), g.set().Peer.Port()))
 		}
 	}
-	value, err := json.Marshal(presence{Peer: g.set.Peer})
+	value, err := json.Marshal(presence{Peer: g.set().Peer})
 	if err != nil {
 		panic(err) // an address always encodes
 	}
@@ -71,7 +71,7 @@
 	if err != nil {
 		return 0, err
 	}
-	put := platform.Put{Key: entryPrefix + g.set.Name, Value: value, Lease: lease}
+	put := platform.Put{Key: entryPrefix + g.set().Name, Value: value, Lease: lease}
 	if _, _, err := g.store.Swap(ctx, nil, []platform.Put{put}, nil); err != nil {
 		return 0, err
 	}
@@ -93,7 +93,7 @@
 // beat returns this entry's present state for the others.
 func (g *Gate) beat() *beat.Beat {
 	b := &beat.Beat{
-		Name: g.set.Name, Start: g.began.UnixNano(), Seq: g.beats.Add(1), Config: g.version(), Share: g.set.Share.String(),
+		Name: g.set().Name, Start: g.began.UnixNano(), Seq: g.beats.Add(1), Config: g.version(), Share: g.set().Share.String(),
 		Demand: beat.Demand{Prompt: g.prompted.Load(), Output: g.output.Load()}, Away: g.lead.changing(),
 	}
 	for _, list := range g.fleet.Load().services {
--- /dev/null
+++ b/io/gate/reload.go
@@ -0,0 +1,25 @@
+package gate
+
+import (
+	"pimentoseam/core/setup"
+)
+
+// reload puts the settings of the file in force as far as a running process can take them over.
+func (g *Gate) reload() (*setup.Change, error) {
+	next, err := setup.ReadGate(g.file)
+	if err != nil {
+		return nil, err
+	}
+	change := next.Replace(g.set())
+	if len(change.Now) == 0 {
+		return change, nil
+	}
+	g.own.Store(next)
+	g.store.Move(next.Store)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.budgets {
+		b.Bound(next.Ratio, next.Slack)
+	}
+	return change, nil
+}
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -136,7 +136,7 @@
 
 func (g *Gate) cost(u *upstream, elsewhere map[uint32]beat.Load) float64 {
 	cost := float64(u.running.Load()) + float64(elsewhere[u.key].Running)
-	if u.info.Load().Zone != g.set.Zone {
+	if u.info.Load().Zone != g.set().Zone {
 		cost += zonePenalty
 	}
 	return cost
--- a/io/oper/gate.go
+++ b/io/oper/gate.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return Invalid, err
 	}
-	if err := gate.New(set).Run(ctx); err != nil {
+	if err := gate.New(set, gate.WithFile(c.file)).Run(ctx); err != nil {
 		return Failure, err
 	}
 	return OK, nil
--- a/io/oper/tend.go
+++ b/io/oper/tend.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return Invalid, err
 	}
-	if err := tend.New(set).Run(ctx); err != nil {
+	if err := tend.New(set, tend.WithFile(c.file)).Run(ctx); err != nil {
 		return Failure, err
 	}
 	return OK, nil
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -10,10 +10,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
 	"pimentoseam/core/event"
+	"pimentoseam/core/setup"
 )
 
 // Logger returns a logger that writes one key=value line per event to standard error.
@@ -26,20 +28,54 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// Hangups logs each SIGHUP until ctx ends, in place of ending the process. The settings that a running
-// process uses (its addresses and name) can't change under it; the rest is read at its next start.
-func Hangups(ctx context.Context, log *slog.Logger) {
+// reloadEvery is the time between looks at a settings file that may change without a signal.
+const reloadEvery = time.Second
+
+// Reload calls apply on each SIGHUP and whenever the file has changed, until ctx ends, and logs what came
+// of it. A file that can't be used leaves the settings as they are. Without a file SIGHUP is only logged.
+func Reload(ctx context.Context, log *slog.Logger, file string, apply func() (*setup.Change, error)) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
+	look := time.NewTicker(reloadEvery)
+	defer look.Stop()
+	seen := stamp(file)
 	for {
+		why := "signal"
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
-			log.Info("reload", "changed", "nothing in use")
+		case <-look.C:
+			if stamp(file) == seen {
+				continue
+			}
+			why = "file"
+		}
+		seen = stamp(file)
+		if file == "" {
+			log.Info("reload", "why", why, "file", file)
+			continue
 		}
+		change, err := apply()
+		if err != nil {
+			log.Error("reload", "why", why, "file", file, "err", err)
+			continue
+		}
+		log.Info("reload", "why", why, "file", file, "now", change.Now, "later", change.Later)
+	}
+}
+
+// stamp returns what tells one state of a file from the next.
+func stamp(file string) string {
+	if file == "" {
+		return ""
+	}
+	info, err := os.Stat(file)
+	if err != nil {
+		return err.Error() // A change like any other; apply reports what is wrong.
 	}
+	return info.ModTime().String() + strconv.FormatInt(info.Size(), 10)
 }
 
 // Jitter returns between half and all of d, so that processes do not act in step.
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -40,6 +40,8 @@
 // Tend keeps one engine in the role that the plan gives it.
 type Tend struct {
 	set    *setup.Tend
+	file   string      // They are read from; empty for none.
+	latest *setup.Tend // What the file held when it was last read.
 	log    *slog.Logger
 	lines  *logbuf.Handler
 	store  *platform.Store
@@ -52,13 +54,37 @@
 	at   int64      // Its revision in the store, the fencing token of the orders.
 }
 
+// Option changes a Tend.
+type Option func(*Tend)
+
+// WithFile has the settings read again from a file on SIGHUP and whenever it changes.
+func WithFile(path string) Option {
+	return func(t *Tend) { t.file = path }
+}
+
 // New returns a Tend with the given settings.
-func New(set *setup.Tend) *Tend {
+func New(set *setup.Tend, opts ...Option) *Tend {
 	lines := logbuf.New(os.Stdout)
-	return &Tend{
-		set: set, lines: lines, log: slog.New(lines).With("process", set.Name),
+	t := &Tend{
+		set: set, latest: set, lines: lines, log: slog.New(lines).With("process", set.Name),
 		store: platform.NewStore(set.Store), outlet: outlet.New(), meter: meter.New(), hint: make(chan struct{}, 1),
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// reload puts the settings of the file in force as far as a running process can take them over.
+func (t *Tend) reload() (*setup.Change, error) {
+	next, err := setup.ReadTend(t.file)
+	if err != nil {
+		return nil, err
+	}
+	change := next.Replace(t.latest)
+	t.latest = next
+	t.store.Move(next.Store) // Nothing else can change.
+	return change, nil
 }
 
 // Run follows the plan until ctx ends.
@@ -67,7 +93,7 @@
 	t.log.Info("started", "engine", t.set.Engine, "service", t.set.Service)
 	go follow.New(t.store, t.log, PlanPrefix+t.set.Service, t.apply,
 		follow.WithPause(watchPause), follow.WithWait(func() time.Duration { return proc.Jitter(watchWait) })).Run(ctx)
-	go proc.Hangups(ctx, t.log)
+	go proc.Reload(ctx, t.log, t.file, t.reload)
 	go t.serveMetrics(ctx)
 	for ctx.Err() == nil {
 		wait := t.bring(ctx)
