tend: hear of plans by notices of the lead instead of the store

Cause: every agent watched the plan in the store, and each change of the plan woke all of them. Ruled out: longer waits (a change of the plan wakes every watch all the same) and stale reads (seconds old, a tenth of the price). Change: the lead sends each agent its part of the plan as a datagram, when the plan changes and every 2 s; the store's revision stays the fencing token, an older one says nothing. An agent that hears no lead for 6 s asks the store.

--- a/core/setup/change.go
+++ b/core/setup/change.go
@@ -49,8 +49,9 @@
 	c.later("name", t.Name != old.Name)
 	c.later("engine", t.Engine != old.Engine)
 	c.later("service", t.Service != old.Service)
+	c.later("peer", t.Peer != old.Peer)
 	c.later("debug", t.Debug != old.Debug)
-	t.Name, t.Engine, t.Service, t.Debug = old.Name, old.Engine, old.Service, old.Debug
+	t.Name, t.Engine, t.Service, t.Peer, t.Debug = old.Name, old.Engine, old.Service, old.Peer, old.Debug
 	c.now("store", t.Store != old.Store)
 	return c
 }
--- a/core/setup/tend.go
+++ b/core/setup/tend.go
@@ -11,6 +11,7 @@
 	Engine  netip.AddrPort `json:"engine"`  // the engine on the same VM
 	Service string         `json:"service"` // that the engine belongs to
 	Store   netip.AddrPort `json:"store"`
+	Peer    netip.AddrPort `json:"peer"`  // UDP, for notices of the lead; without it only the store is asked
 	Debug   netip.AddrPort `json:"debug"` // for metrics
 }
 
--- a/io/gate/lead.go
+++ b/io/gate/lead.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
 	"pimentoseam/core/beat"
 	"pimentoseam/core/member"
+	"pimentoseam/core/notice"
 	"pimentoseam/core/plan"
 	"pimentoseam/core/route"
 	"pimentoseam/core/split"
@@ -29,6 +31,9 @@
 	// its drain, the change itself and the entry's delay.
 	changeTime  = 12 * time.Second
 	demandEvery = 2 * time.Second // Between log lines of the demand.
+	// tellEvery is the time between notices to the agents while nothing changes; a lost one delays
+	// a change of role by as much.
+	tellEvery = 2 * time.Second
 	// changesAtOnce bounds the engines that are away for a change while there is traffic.
 	changesAtOnce = 1
 )
@@ -52,6 +57,7 @@
 	planner *split.Planner
 	count   int // Engines at the last look.
 	logged  time.Time
+	told    time.Time            // When the agents were last told of the plan.
 	changed map[string]time.Time // When an engine's order last changed.
 }
 
@@ -208,6 +214,9 @@
 	if h.count = len(engines); growing && !h.planner.Known() {
 		return
 	}
+	if time.Since(h.told) > tellEvery {
+		l.tell(name, h, engines)
+	}
 	prefill, changing := 0, 0
 	for _, e := range engines {
 		role := e.Role
@@ -257,6 +266,21 @@
 			h.changed[id] = time.Now()
 			away[beat.Key(id)] = true
 		}
+		l.tell(name, h, engines)
+	}
+}
+
+// tell sends each engine's agent, which is on the engine's VM, its part of the plan.
+func (l *lead) tell(name string, h *held, engines []*member.Upstream) {
+	h.told = time.Now()
+	port := l.gate.set().Peer.Port()
+	for _, e := range engines {
+		o, _ := h.plan.Order(e.ID)
+		n := &notice.Notice{
+			Service: name, Revision: h.at, Epoch: h.plan.Epoch, Lead: h.plan.Lead,
+			Upstream: e.ID, Addr: e.Addr.String(), Role: o.Role,
+		}
+		l.gate.gossip.Tell(netip.AddrPortFrom(e.Addr.Addr(), port), n.Encode())
 	}
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pimentoseam/core/beat"
@@ -53,6 +54,7 @@
 	make   func() *beat.Beat
 	heard  func(*beat.Beat)
 
+	conn  atomic.Pointer[net.UDPConn] // Nil before it is open.
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*Peer
 }
@@ -109,11 +111,23 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	g.conn.Store(conn)
 	go g.send(ctx, conn)
 	g.receive(ctx, conn)
 	return nil
 }
 
+// Tell sends one datagram to any process, as soon as the socket is open; it may be lost.
+func (g *Gossip) Tell(addr netip.AddrPort, data []byte) {
+	conn := g.conn.Load()
+	if conn == nil {
+		return
+	}
+	if _, err := conn.WriteToUDPAddrPort(data, addr); err != nil {
+		g.log.Debug("datagram not sent", "to", addr, "err", err)
+	}
+}
+
 func (g *Gossip) send(ctx context.Context, conn *net.UDPConn) {
 	for n := 0; ctx.Err() == nil; n++ {
 		targets := g.targets(n)
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync"
 	"time"
 
 	"pimentoseam/core/member"
+	"pimentoseam/core/notice"
 	"pimentoseam/core/plan"
 	"pimentoseam/core/setup"
-	"pimentoseam/io/follow"
 	"pimentoseam/io/logbuf"
 	"pimentoseam/io/meter"
 	"pimentoseam/io/outlet"
@@ -24,10 +26,12 @@
 	// PlanPrefix is the store's prefix of the plans; a service's name follows it.
 	PlanPrefix = "plan/"
 
-	// watchWait bounds how late a plan is seen if a watch falls silent; an engine is away for
-	// seconds at each change, so a few more matter little.
-	watchWait   = 10 * time.Second
-	watchPause  = time.Second            // Takes several plans in a row with one call.
+	// defaultSilence is the time without a notice of the lead after which the store is asked for the plan;
+	// a new lead takes a few seconds to be found.
+	defaultSilence = 6 * time.Second
+	// askTimes is the longest time between such questions in silences; half of it is the shortest.
+	askTimes    = 2
+	mostNotice  = 2 << 10                // Bytes.
 	lookEvery   = time.Second            // Between looks at the engine, for its restarts.
 	settleEvery = 150 * time.Millisecond // Between looks at an engine that carries out an order.
 	callTimeout = 500 * time.Millisecond // The engine is on the same VM.
@@ -39,19 +43,22 @@
 
 // Tend keeps one engine in the role that the plan gives it.
 type Tend struct {
-	set    *setup.Tend
-	file   string      // They are read from; empty for none.
-	latest *setup.Tend // What the file held when it was last read.
-	log    *slog.Logger
-	lines  *logbuf.Handler
-	store  *platform.Store
-	outlet *outlet.Outlet
-	meter  *meter.Meter
-	hint   chan struct{}
+	set     *setup.Tend
+	file    string      // They are read from; empty for none.
+	latest  *setup.Tend // What the file held when it was last read.
+	log     *slog.Logger
+	lines   *logbuf.Handler
+	silence time.Duration
+	store   *platform.Store
+	outlet  *outlet.Outlet
+	meter   *meter.Meter
+	hint    chan struct{}
 
-	mu   sync.Mutex
-	plan *plan.Plan // Newest that was read since the start; nil before.
-	at   int64      // Its revision in the store, the fencing token of the orders.
+	mu    sync.Mutex
+	order plan.Order // Of the newest plan that is known.
+	given bool       // It has one for this engine.
+	at    int64      // The plan's revision in the store, the fencing token of the orders.
+	heard time.Time  // When the lead was last heard or the store last answered.
 }
 
 // Option changes a Tend.
@@ -62,11 +69,16 @@
 	return func(t *Tend) { t.file = path }
 }
 
+// WithSilence sets after how long without a notice of the lead the store is asked for the plan.
+func WithSilence(d time.Duration) Option {
+	return func(t *Tend) { t.silence = d }
+}
+
 // New returns a Tend with the given settings.
 func New(set *setup.Tend, opts ...Option) *Tend {
 	lines := logbuf.New(os.Stdout)
 	t := &Tend{
-		set: set, latest: set, lines: lines, log: slog.New(lines).With("process", set.Name),
+		set: set, latest: set, silence: defaultSilence, lines: lines, log: slog.New(lines).With("process", set.Name),
 		store: platform.NewStore(set.Store), outlet: outlet.New(), meter: meter.New(), hint: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -91,8 +103,17 @@
 func (t *Tend) Run(ctx context.Context) error {
 	defer t.lines.Close()
 	t.log.Info("started", "engine", t.set.Engine, "service", t.set.Service)
-	go follow.New(t.store, t.log, PlanPrefix+t.set.Service, t.apply,
-		follow.WithPause(watchPause), follow.WithWait(func() time.Duration { return proc.Jitter(watchWait) })).Run(ctx)
+	t.heard = time.Now()
+	go t.askStore(ctx)
+	if t.set.Peer.IsValid() {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(t.set.Peer))
+		if err != nil {
+			return &Error{Addr: t.set.Peer, Cause: err}
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		defer stop()
+		go t.listen(ctx, conn)
+	}
 	go proc.Reload(ctx, t.log, t.file, t.reload)
 	go t.serveMetrics(ctx)
 	for ctx.Err() == nil {
@@ -119,47 +140,109 @@
 	}
 }
 
-// apply takes over a newer plan.
-func (t *Tend) apply(u follow.Update) {
-	for _, item := range u.Items {
-		if item.Key != PlanPrefix+t.set.Service || item.Removed {
+// Error reports an address that can't be listened at.
+type Error struct {
+	Addr  netip.AddrPort
+	Cause error
+}
+
+// Error names the address and the cause.
+func (e *Error) Error() string {
+	return "listen on " + e.Addr.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// listen takes the notices of the lead until ctx ends.
+func (t *Tend) listen(ctx context.Context, conn *net.UDPConn) {
+	buffer := make([]byte, mostNotice)
+	for ctx.Err() == nil {
+		size, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				t.log.Warn("notice not received", "err", err)
+				proc.Sleep(ctx, lookEvery)
+			}
 			continue
 		}
-		p, err := plan.Parse(item.Value)
+		n, err := notice.Parse(buffer[:size])
 		if err != nil {
-			t.log.Error("plan not understood", "revision", item.Revision, "err", err)
+			t.log.Warn("notice not understood", "from", from, "err", err)
 			continue
 		}
-		t.mu.Lock()
-		newer := item.Revision > t.at
-		if newer {
-			t.plan, t.at = p, item.Revision
+		if n.Service != t.set.Service || n.Addr != t.set.Engine.String() {
+			t.log.Warn("notice for another engine", "from", from, "service", n.Service, "addr", n.Addr)
+			continue
 		}
+		order, given := n.Order()
+		t.learn(order, given, n.Revision, n.Epoch, n.Lead)
+	}
+}
+
+// askStore reads the plan whenever no lead has been heard for a while, until ctx ends.
+func (t *Tend) askStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		rest := t.silence - time.Since(t.heard)
 		t.mu.Unlock()
-		if !newer {
+		if rest > 0 {
+			proc.Sleep(ctx, rest)
 			continue
 		}
-		t.log.Info("plan", "revision", item.Revision, "epoch", p.Epoch, "lead", p.Lead)
-		select {
-		case t.hint <- struct{}{}:
-		default:
+		t.ask(ctx)
+		proc.Sleep(ctx, proc.Jitter(askTimes*t.silence))
+	}
+}
+
+// ask reads the plan from the store.
+func (t *Tend) ask(ctx context.Context) {
+	item, err := t.store.Get(ctx, PlanPrefix+t.set.Service)
+	if err != nil {
+		t.log.Warn("plan not read", "err", err)
+		return
+	}
+	p, err := plan.Parse(item.Value)
+	if err != nil {
+		t.log.Error("plan not understood", "revision", item.Revision, "err", err)
+		return
+	}
+	for _, o := range p.Orders {
+		if o.Addr == t.set.Engine.String() {
+			t.learn(o, true, item.Revision, p.Epoch, p.Lead)
+			return
 		}
 	}
+	t.learn(plan.Order{}, false, item.Revision, p.Epoch, p.Lead)
+}
+
+// learn takes over this engine's part of a plan unless a newer one is known.
+func (t *Tend) learn(o plan.Order, given bool, revision, epoch int64, lead string) {
+	t.mu.Lock()
+	t.heard = time.Now()
+	newer := revision > t.at
+	changed := newer && (o != t.order || given != t.given)
+	if newer {
+		t.order, t.given, t.at = o, given, revision
+	}
+	t.mu.Unlock()
+	if !changed {
+		return
+	}
+	t.log.Info("plan", "revision", revision, "epoch", epoch, "lead", lead, "role", o.Role, "upstream", o.Upstream)
+	select {
+	case t.hint <- struct{}{}:
+	default:
+	}
 }
 
 // ordered returns the order of the plan for this engine and its fencing token.
 func (t *Tend) ordered() (plan.Order, int64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.plan == nil {
-		return plan.Order{}, 0, false
-	}
-	for _, o := range t.plan.Orders {
-		if o.Addr == t.set.Engine.String() {
-			return o, t.at, true
-		}
-	}
-	return plan.Order{}, 0, false
+	return t.order, t.at, t.given
 }
 
 // bring looks at the engine and gives it the order of the plan if it differs; it returns the time
