cached: parts that an engine is processing count for it

Cause: a prompt's parts were noted once they had been processed. Change: a part is noted with the delay until it will be there; until then it counts for its engine only and can't be fetched. Parts from 64 tokens on are fetched.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -35,11 +35,12 @@
 	Waiting [Priorities]uint32
 }
 
-// Part tells that an upstream has processed the parts of a prompt that end a chain.
+// Part tells that an upstream has processed the parts of a prompt that end a chain, or soon will have.
 type Part struct {
 	_     struct{} `cbor:",toarray"`
 	Key   uint32
 	Chain uint64
+	Delay uint32 // Milliseconds until then.
 }
 
 // Demand is what an entry's callers asked of the model engines of a service, counted from its start.
--- a/core/cached/map.go
+++ b/core/cached/map.go
@@ -45,9 +45,9 @@
 	return chains
 }
 
-// Note records that an engine keeps the chains.
-func (m *Map) Note(engine string, chains []Chain) {
-	now := time.Now()
+// Note records that an engine keeps the chains, or will once it has processed them after a delay.
+func (m *Map) Note(engine string, chains []Chain, delay time.Duration) {
+	when := time.Now().Add(delay)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range chains {
@@ -55,7 +55,11 @@
 			m.shrink()
 			m.chains[c] = make(map[string]time.Time)
 		}
-		m.chains[c][engine] = now
+		// A chain that the engine keeps already is not taken for one that it has yet to process.
+		if old, ok := m.chains[c][engine]; delay > 0 && ok && !old.After(when) && time.Since(old) < keepTime {
+			continue
+		}
+		m.chains[c][engine] = when
 	}
 }
 
@@ -69,22 +73,29 @@
 	}
 }
 
-// Held returns for each engine how many tokens of the parts it keeps.
-func (m *Map) Held(chains []Chain, parts []call.Part) map[string]int {
-	oldest := time.Now().Add(-keepTime)
-	held := make(map[string]int)
+// Held returns for each engine how many tokens of the parts it keeps, and how many it will once it has
+// processed what is under way.
+func (m *Map) Held(chains []Chain, parts []call.Part) (kept, soon map[string]int) {
+	now := time.Now()
+	kept, soon = make(map[string]int), make(map[string]int)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := 0
 	for i, c := range chains {
 		for engine, used := range m.chains[c] {
-			if used.After(oldest) && held[engine] == before {
-				held[engine] = before + parts[i].Tokens
+			if now.Sub(used) >= keepTime {
+				continue
+			}
+			if soon[engine] == before {
+				soon[engine] = before + parts[i].Tokens
+			}
+			if kept[engine] == before && !used.After(now) {
+				kept[engine] = before + parts[i].Tokens
 			}
 		}
 		before += parts[i].Tokens
 	}
-	return held
+	return kept, soon
 }
 
 // Forget drops what is known of an engine, as after its restart.
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -17,6 +17,7 @@
 	Memory  int           // Tokens that fit into its KV cache.
 	Slow    float64       // How much slower than stated it has been, 1 if not.
 	Held    int           // Leading tokens of the prompt that it keeps.
+	Soon    int           // Those that it will keep once it has done its waiting work, if more.
 }
 
 func (e *Engine) slow() float64 {
@@ -61,7 +62,7 @@
 	// zoneCost is the delay that a send to another availability zone counts for beside its time.
 	zoneCost = 4 * time.Millisecond
 	// fetchLeast is the number of tokens from which a fetch takes less time than processing them.
-	fetchLeast = 256
+	fetchLeast = 64
 	// reserve is how many times its own size must be free in an engine's memory for a request.
 	reserve = 4
 	// fullCost is the delay that a decode engine's load counts for when all of its places are taken.
@@ -136,7 +137,7 @@
 
 // reading returns the choice of e for the prompt, with the delay until it is processed.
 func (p *Placer) reading(job *Job, e, source *Engine) Choice {
-	held, fetch := e.Held, time.Duration(0)
+	held, fetch := max(e.Held, e.Soon), time.Duration(0)
 	c := Choice{}
 	if source != nil && source != e && source.Held-held >= fetchLeast {
 		c.Fetch = source
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -30,6 +30,10 @@
 		e.Held = tokens
 		return e
 	}
+	soon := func(e *place.Engine, tokens int) *place.Engine {
+		e.Soon = tokens
+		return e
+	}
 	full := func(e *place.Engine) *place.Engine {
 		e.Tokens, e.Making = e.Memory, e.Slots
 		return e
@@ -47,7 +51,9 @@
 		{"prompt engines far behind", job(300), []*place.Engine{decode("d"), busy(prefill("p"), 2*time.Second)}, "", "d", ""},
 		{"an engine that keeps the parts", job(12000), []*place.Engine{decode("d"), holds(prefill("p"), 6000), prefill("q")}, "p", "d", ""},
 		{"parts are fetched from a busy engine", job(12000), []*place.Engine{decode("d"), holds(busy(prefill("p"), time.Second), 6000), prefill("q")}, "q", "d", "p"},
-		{"few tokens are not fetched", job(900), []*place.Engine{decode("d"), holds(busy(prefill("p"), time.Second), 100), prefill("q")}, "q", "d", ""},
+		{"an engine that is processing the parts", job(12000), []*place.Engine{decode("d"), soon(busy(prefill("p"), 60*time.Millisecond), 9000), prefill("q")}, "p", "d", ""},
+		{"what is not processed yet can't be fetched", job(12000), []*place.Engine{decode("d"), soon(busy(prefill("p"), time.Second), 9000), prefill("q")}, "q", "d", ""},
+		{"few tokens are not fetched", job(900), []*place.Engine{decode("d"), holds(busy(prefill("p"), time.Second), 40), prefill("q")}, "q", "d", ""},
 		{"outputs go where there is room", job(12000), []*place.Engine{full(decode("d")), decode("e"), prefill("p")}, "p", "e", ""},
 	}
 	for _, test := range tests {
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -78,18 +78,18 @@
 		return c.Fetch.Held
 	}
 	if c.Read != nil {
-		return c.Read.Held
+		return max(c.Read.Held, c.Read.Soon)
 	}
-	return c.Make.Held
+	return max(c.Make.Held, c.Make.Soon)
 }
 
 // place chooses engines; the map returned has the upstream of each engine by its id.
 func (x *exchange) place(service *route.Service, chains []cached.Chain) (place.Choice, map[string]*upstream, bool) {
-	kept := x.gate.cached.Held(chains, x.call.Shared())
-	engines, byID := x.engines(service, kept, false)
+	kept, soon := x.gate.cached.Held(chains, x.call.Shared())
+	engines, byID := x.engines(service, kept, soon, false)
 	choice, ok := x.gate.placer.Choose(x.job(service), engines)
 	if !ok {
-		engines, byID = x.engines(service, kept, true)
+		engines, byID = x.engines(service, kept, soon, true)
 		choice, ok = x.gate.placer.Choose(x.job(service), engines)
 	}
 	return choice, byID, ok
@@ -98,7 +98,7 @@
 // maker chooses the engine for the output of a prompt that was processed in the zone read.
 func (x *exchange) maker(service *route.Service, read string) *upstream {
 	for _, all := range []bool{false, true} {
-		engines, byID := x.engines(service, nil, all)
+		engines, byID := x.engines(service, nil, nil, all)
 		if e := x.gate.placer.Maker(x.job(service), engines, read); e != nil {
 			return byID[e.ID]
 		}
@@ -116,7 +116,7 @@
 
 // engines returns the engines that may get the request, with their upstreams by id: those that are
 // changing their role or have just refused a request only if all are asked for.
-func (x *exchange) engines(service *route.Service, kept map[string]int, all bool) ([]*place.Engine, map[string]*upstream) {
+func (x *exchange) engines(service *route.Service, kept, soon map[string]int, all bool) ([]*place.Engine, map[string]*upstream) {
 	told := x.gate.told()
 	byID := make(map[string]*upstream)
 	var engines []*place.Engine
@@ -131,7 +131,7 @@
 			ID: info.ID, Zone: info.Zone, Prefill: info.Role == member.Prefill,
 			Waiting: u.ahead(x.route.Priority, more),
 			Making:  int(u.making.Load()) + int(more.Making), Tokens: int(u.tokens.Load()) + int(more.Tokens),
-			Slots: service.Engine.Slots, Memory: service.Engine.Capacity, Held: kept[info.ID],
+			Slots: service.Engine.Slots, Memory: service.Engine.Capacity, Held: kept[info.ID], Soon: soon[info.ID],
 		})
 	}
 	return engines, byID
@@ -159,12 +159,13 @@
 // handOver has the prompt processed at one engine and the output generated at another. A KV cache that no
 // engine has taken is freed.
 func (x *exchange) handOver(ctx context.Context, service *route.Service, c place.Choice, engines map[string]*upstream, chains []cached.Chain, s *call.Send) result {
+	reader := engines[c.Read.ID]
+	x.gate.noteParts(reader, c.Read.ID, chains, c.Delay)
 	handle, end := x.prefill(ctx, engines, c)
 	if end != done {
 		return end
 	}
-	reader := engines[c.Read.ID]
-	x.gate.noteParts(reader, c.Read.ID, chains)
+	x.gate.noteParts(reader, c.Read.ID, chains, 0)
 	s.Source = handle
 	end = exhausted
 	for range sameHandle {
@@ -193,7 +194,7 @@
 	defer maker.make(x.call.Prompt + x.call.Output)()
 	end := x.send(ctx, maker, s)
 	if end == done {
-		x.gate.noteParts(maker, id, chains)
+		x.gate.noteParts(maker, id, chains, 0)
 	} else {
 		x.tried[maker] = true
 	}
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -110,14 +110,14 @@
 	return b
 }
 
-// noteParts records that an upstream has processed chains, here and for the others.
-func (g *Gate) noteParts(u *upstream, id string, chains []cached.Chain) {
-	g.cached.Note(id, chains)
+// noteParts records that an upstream has processed chains, or will after a delay, here and for the others.
+func (g *Gate) noteParts(u *upstream, id string, chains []cached.Chain, delay time.Duration) {
+	g.cached.Note(id, chains, delay)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, c := range chains {
 		if len(g.parts) < partsKept {
-			g.parts = append(g.parts, beat.Part{Key: u.key, Chain: uint64(c)})
+			g.parts = append(g.parts, beat.Part{Key: u.key, Chain: uint64(c), Delay: uint32(delay.Milliseconds())})
 		}
 	}
 }
@@ -127,7 +127,7 @@
 	f := g.fleet.Load()
 	for _, p := range b.Parts {
 		if u := f.byKey[p.Key]; u != nil {
-			g.cached.Note(u.info.Load().ID, []cached.Chain{cached.Chain(p.Chain)})
+			g.cached.Note(u.info.Load().ID, []cached.Chain{cached.Chain(p.Chain)}, time.Duration(p.Delay)*time.Millisecond)
 		}
 	}
 	g.mu.Lock()
