gossip: beats by zones, two watchers of the store

Cause: each entry sent its beats to all others. Load was known 0.13 s late on average. Ruled out: fewer beats (later still) and watches that wait longer (a change wakes them all the same). Change: beats go to the entries of a zone; the two entries with the first names send the zone's sum to one entry of each other zone, which passes it on. Two entries in the first zones watch the store, a third one where the second is not in the first zone; the others rest, learn that there is news by beats and ask for what changed since. An entry that hears no watcher, or stays behind for 0.6 s, watches itself. An entry of another zone that knows few others is told of some. Parts used again within 2 s are no news. The demand is a rate in each beat.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -1,35 +1,48 @@
 package beat
 
 import (
+	"net/netip"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Beat is an entry's state as it stands; a lost one is made good by the next.
+// Beat is the state of an entry as it stands, or the sum of those of an availability zone; a lost one is
+// made good by the next.
 type Beat struct {
 	_       struct{} `cbor:",toarray"`
-	Name    string
-	Start   int64  // Unix nanoseconds of the process's start; a later one replaces all before.
-	Seq     uint64 // Rises with each beat of a process.
-	Config  int64  // Version of the configuration in force.
-	Members int64  // Revision of the newest change of the list of upstreams that is known.
-	Share   string // Address where both can be asked for.
+	Name    string   // Of the entry, or of the one that made the sum.
+	Zone    string
+	Sum     bool
+	Passed  bool           // A sum that an entry of the receiver's own zone passes on.
+	Peer    netip.AddrPort // Where the entry takes beats.
+	Entries uint32         // Of the zone, those lost a short while ago included; 1 unless it is a sum.
+	Start   int64          // Unix nanoseconds of the process's start; a later one replaces all before.
+	Seq     uint64         // Rises with each beat of a process.
+	Sees    bool           // The entry, or one of the zone, hears of changes from the store itself.
+	Config  int64          // Version of the configuration in force.
+	Members int64          // Revision of the newest change of the list of upstreams that is known.
+	Share   string         // Address where both can be asked for.
+	Rate    uint64         // Prompt work that callers ask for, in milliseconds of an engine a second.
 	Loads   []Load
 	Parts   []Part
-	Demand  Demand
-	Away    []uint32 // Keys of the engines that are changing their role, told by the lead.
+	Away    []uint32         // Keys of the engines that are changing their role, told by the lead.
+	Meet    []netip.AddrPort // Entries of the receiver's zone, for one that knows few.
 }
 
 // Priorities is the number of priorities that beats tell apart.
 const Priorities = 4
 
+// Block is the number of tokens that KV cache is counted by.
+const Block = 16
+
 // Load is what one entry has in progress at an upstream.
 type Load struct {
 	_       struct{} `cbor:",toarray"`
 	Key     uint32   // Of the upstream's id.
 	Running uint32   // Requests.
 	Making  uint32   // Requests that generate output.
-	Tokens  uint32   // KV cache that those hold.
+	Blocks  uint32   // KV cache that those hold, in blocks of Block tokens.
 	// Waiting is the work of prompts without a first token in tenths of a millisecond, by the
 	// priority of their routes; the last one stands for all less urgent ones.
 	Waiting [Priorities]uint32
@@ -43,13 +56,6 @@
 	Delay uint32 // Milliseconds until then.
 }
 
-// Demand is what an entry's callers asked of the model engines of a service, counted from its start.
-type Demand struct {
-	_      struct{} `cbor:",toarray"`
-	Prompt uint64   // Milliseconds of a prefill engine's time.
-	Output uint64   // Tokens to generate.
-}
-
 // BadBeat reports a datagram that is no beat.
 type BadBeat struct {
 	Cause error
--- a/core/beat/beat_test.go
+++ b/core/beat/beat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"reflect"
 	"testing"
 
@@ -10,9 +11,11 @@
 
 func TestEncode(t *testing.T) {
 	b := &beat.Beat{
-		Name: "e", Start: 1, Seq: 2, Config: 3, Members: 4, Share: "127.0.0.1:1",
-		Loads: []beat.Load{{Key: beat.Key("i-1"), Running: 1, Making: 2, Tokens: 3, Waiting: [beat.Priorities]uint32{4, 5, 6, 7}}},
-		Parts: []beat.Part{{Key: 1, Chain: 2}}, Demand: beat.Demand{Prompt: 8, Output: 9}, Away: []uint32{1},
+		Name: "e", Zone: "z", Sum: true, Passed: true, Peer: netip.MustParseAddrPort("127.0.0.1:2"), Entries: 7,
+		Start: 1, Seq: 2, Sees: true, Config: 3, Members: 4, Share: "127.0.0.1:1", Rate: 8,
+		Loads: []beat.Load{{Key: beat.Key("i-1"), Running: 1, Making: 2, Blocks: 3, Waiting: [beat.Priorities]uint32{4, 5, 6, 7}}},
+		Parts: []beat.Part{{Key: 1, Chain: 2}}, Away: []uint32{1},
+		Meet: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:3")},
 	}
 	got, err := beat.Parse(b.Encode())
 	if err != nil {
@@ -26,9 +29,9 @@
 // TestSize bounds what an entry sends at the size of today's largest deployments: a beat with the load of
 // 60 upstreams must fit one datagram of 1400 bytes but for its news of prompts.
 func TestSize(t *testing.T) {
-	b := &beat.Beat{Name: "front-some-zone-name-12", Start: 1 << 60, Seq: 1 << 30, Share: "10.200.100.100:10000"}
+	b := &beat.Beat{Name: "front-some-zone-name-12", Zone: "some-zone-name", Start: 1 << 60, Seq: 1 << 30, Share: "10.200.100.100:10000"}
 	for i := range 60 {
-		b.Loads = append(b.Loads, beat.Load{Key: uint32(i) << 24, Running: 9, Making: 9, Tokens: 90000, Waiting: [beat.Priorities]uint32{200, 200, 2000}})
+		b.Loads = append(b.Loads, beat.Load{Key: uint32(i) << 24, Running: 9, Making: 9, Blocks: 90000 / beat.Block, Waiting: [beat.Priorities]uint32{200, 200, 2000}})
 	}
 	if n := len(b.Encode()); n > 1400 {
 		t.Errorf("%d bytes, want 1400 at most", n)
--- a/core/cached/map.go
+++ b/core/cached/map.go
@@ -15,6 +15,8 @@
 	// keepTime is how long a part is taken to stay cached after its last use; engines drop the
 	// least recently used parts, and their events of that come late or never.
 	keepTime = 8 * time.Second
+	// tellTime is the time in which further uses of a part are no news; it shortens keepTime for others.
+	tellTime = 2 * time.Second
 )
 
 // Chain is the hash of the leading parts of a prompt up to one of them.
@@ -46,7 +48,9 @@
 }
 
 // Note records that an engine keeps the chains, or will once it has processed them after a delay.
-func (m *Map) Note(engine string, chains []Chain, delay time.Duration) {
+// It returns those of which others should be told, since the last time was a while ago.
+func (m *Map) Note(engine string, chains []Chain, delay time.Duration) []Chain {
+	var news []Chain
 	when := time.Now().Add(delay)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -56,11 +60,16 @@
 			m.chains[c] = make(map[string]time.Time)
 		}
 		// A chain that the engine keeps already is not taken for one that it has yet to process.
-		if old, ok := m.chains[c][engine]; delay > 0 && ok && !old.After(when) && time.Since(old) < keepTime {
+		old, ok := m.chains[c][engine]
+		if delay > 0 && ok && !old.After(when) && time.Since(old) < keepTime {
 			continue
 		}
 		m.chains[c][engine] = when
+		if !ok || old.After(when) || when.Sub(old) > tellTime {
+			news = append(news, c)
+		}
 	}
+	return news
 }
 
 // shrink makes room for one more chain.
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"pimentoseam/io/proc"
@@ -13,6 +14,7 @@
 const (
 	watchMost = 25 * time.Second       // Of one waiting call; the store allows 30 s.
 	retryMin  = 250 * time.Millisecond // After the first failed call.
+	restStep  = 50 * time.Millisecond  // Between looks whether the changes are still learned otherwise.
 	retryMax  = 1 * time.Second        // Keeps the store's return from being missed for long.
 )
 
@@ -32,7 +34,10 @@
 	lost   func()
 	pause  time.Duration
 	wait   func() time.Duration
+	rests  func() bool
+	known  func() int64
 	away   bool
+	heard  atomic.Int64 // Last success by uptime; 0 after a failure.
 }
 
 // Option changes a Follower.
@@ -54,9 +59,18 @@
 	return func(f *Follower) { f.lost = lost }
 }
 
+// WithRest has the follower make no calls while rests reports that the changes are learned otherwise; it is
+// asked before each call but the first. The follower then goes on from the revision that known returns.
+func WithRest(rests func() bool, known func() int64) Option {
+	return func(f *Follower) { f.rests, f.known = rests, known }
+}
+
 // New returns a Follower that hands what it learns to apply, one update at a time.
 func New(store *platform.Store, log *slog.Logger, prefix string, apply func(Update), opts ...Option) *Follower {
-	f := &Follower{store: store, log: log, prefix: prefix, apply: apply, lost: func() {}, wait: func() time.Duration { return watchMost }}
+	f := &Follower{
+		store: store, log: log, prefix: prefix, apply: apply, lost: func() {},
+		wait: func() time.Duration { return watchMost }, rests: func() bool { return false }, known: func() int64 { return 0 },
+	}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -72,10 +86,12 @@
 			f.failed(ctx, err)
 			proc.Sleep(ctx, proc.Jitter(retry))
 			retry = min(2*retry, retryMax)
+			f.rest(ctx)
 			continue
 		}
 		retry = retryMin
 		f.regained()
+		f.heard.Store(uptime())
 		f.apply(Update{Whole: true, Items: all.Items, Revision: all.Current})
 		f.watch(ctx, all.Current)
 	}
@@ -84,11 +100,15 @@
 // watch follows the changes after a revision until a call fails.
 func (f *Follower) watch(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
+		if f.rest(ctx) {
+			after = max(after, f.known())
+		}
 		items, next, err := f.store.Watch(ctx, f.prefix, after, min(f.wait(), watchMost))
 		if err != nil {
 			f.failed(ctx, err)
 			return
 		}
+		f.heard.Store(uptime())
 		after = next
 		if len(items) > 0 {
 			f.apply(Update{Items: items, Revision: next})
@@ -97,10 +117,35 @@
 	}
 }
 
+// rest waits while the changes are learned otherwise and reports whether it did.
+func (f *Follower) rest(ctx context.Context) bool {
+	rested := false
+	for ctx.Err() == nil && f.rests() {
+		rested = true
+		f.heard.Store(0)
+		proc.Sleep(ctx, restStep)
+	}
+	return rested
+}
+
+// Sees reports whether the store answered within a span and no call has failed since.
+func (f *Follower) Sees(within time.Duration) bool {
+	at := f.heard.Load()
+	return at > 0 && time.Duration(uptime()-at) < within
+}
+
+// begun is when this process began; the time of day may jump, what is measured from here does not.
+var begun = time.Now()
+
+func uptime() int64 {
+	return int64(time.Since(begun))
+}
+
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	f.heard.Store(0)
 	compacted := new(platform.Compacted)
 	if errors.As(err, &compacted) {
 		f.log.Info("history lost", "prefix", f.prefix)
--- a/io/gate/config.go
+++ b/io/gate/config.go
@@ -39,6 +39,7 @@
 		}
 	}
 	g.limit()
+	g.gossip.Kick()
 	g.log.Info("config", "version", table.Version, "revision", item.Revision, "routes", len(table.Routes()), "from", from)
 }
 
--- a/io/gate/demand.go
+++ b/io/gate/demand.go
@@ -1,48 +1,44 @@
 package gate
 
 import (
+	"sync"
 	"time"
-
-	"pimentoseam/core/beat"
 )
 
-// demand follows how much prompt work the callers of all entries ask for.
-type demand struct {
-	seen map[string]sample
-}
+// demandSpan is the least time that a rate is measured over.
+const demandSpan = 400 * time.Millisecond
 
-// sample is an entry's count of asked work at a moment.
-type sample struct {
-	start  int64 // Of the entry's process.
-	prompt uint64
-	at     time.Time
+// demand measures how much prompt work the callers of this entry ask for.
+type demand struct {
+	mu    sync.Mutex
+	asked uint64 // Count at the beginning of the span.
+	began time.Time
+	last  uint64 // Rate of the span before.
 }
 
-// rate returns the prompt work asked for since the last call, in engine-seconds a second.
-func (d *demand) rate(g *Gate) float64 {
+// rate returns how fast a count has risen lately, a second.
+func (d *demand) rate(asked uint64) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := time.Now()
-	total := d.one(g.set().Name, g.began.UnixNano(), g.prompted.Load(), now)
-	for _, p := range g.gossip.Peers() {
-		if p.Alive() {
-			total += d.peer(p.Beat, now)
-		}
+	if d.began.IsZero() {
+		d.began, d.asked = now, asked
+		return 0
 	}
-	return total
-}
-
-func (d *demand) peer(b *beat.Beat, now time.Time) float64 {
-	return d.one(b.Name, b.Start, b.Demand.Prompt, now)
+	if span := now.Sub(d.began); span >= demandSpan {
+		d.last = uint64(float64(asked-d.asked) / span.Seconds())
+		d.began, d.asked = now, asked
+	}
+	return d.last
 }
 
-func (d *demand) one(name string, start int64, prompt uint64, now time.Time) float64 {
-	if d.seen == nil {
-		d.seen = make(map[string]sample)
-	}
-	old, ok := d.seen[name]
-	d.seen[name] = sample{start: start, prompt: prompt, at: now}
-	elapsed := now.Sub(old.at).Milliseconds()
-	if !ok || old.start != start || prompt < old.prompt || elapsed <= 0 {
-		return 0
+// demanded returns the prompt work that the callers of all entries ask for, in engines.
+func (g *Gate) demanded() float64 {
+	sum := g.demand.rate(g.prompted.Load())
+	for _, p := range append(g.gossip.Peers(), g.gossip.Zones()...) {
+		if p.Alive() {
+			sum += p.Beat.Rate
+		}
 	}
-	return float64(prompt-old.prompt) / float64(elapsed)
+	return float64(sum) / 1000 // Milliseconds a second.
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -43,7 +43,7 @@
 
 // Gate serves callers.
 type Gate struct {
-	own     atomic.Pointer[setup.Gate] // The settings in force.
+	current atomic.Pointer[setup.Gate] // The settings in force.
 	file    string                     // They are read from; empty for none.
 	log     *slog.Logger
 	lines   *logbuf.Handler
@@ -65,14 +65,18 @@
 	beats   atomic.Uint64
 	behind  chan *beat.Beat
 
+	watchConfig  *follow.Follower
+	watchMembers *follow.Follower
+
 	prompted atomic.Uint64 // Milliseconds of prefill work that callers asked for.
-	output   atomic.Uint64 // Tokens that callers asked for.
 
 	mu        sync.Mutex
 	members   *member.Set
 	listed    listed
-	known     bool                 // The list of upstreams has been read.
-	parts     []beat.Part          // For the next beat.
+	known     bool        // The list of upstreams has been read.
+	parts     []beat.Part // For the next beat.
+	zoneParts []beat.Part // For the next sum of the zone.
+	rumour    rumour
 	upstreams map[string]*upstream // By id; only the follower of members changes it.
 	budgets   map[string]*budget.Budget
 }
@@ -122,20 +126,24 @@
 		file: o.file, lines: lines, log: slog.New(lines).With("process", set.Name),
 		store: platform.NewStore(set.Store), outlet: outlet.New(), placer: place.New(), cached: cached.New(), meter: meter.New(),
 		members: member.New(), upstreams: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
-		listed: listed{Items: make(map[string]platform.Item)},
+		listed: listed{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		began:  time.Now(), behind: make(chan *beat.Beat, 1),
 		peer: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 	}
-	g.own.Store(set)
-	g.gossip = gossip.New(set.Peer, g.log, g.beat, g.hear)
+	g.current.Store(set)
+	g.gossip = gossip.New(set.Peer, set.Name, set.Zone, g.log, voice{g})
 	g.lead = newLead(g)
+	g.watchConfig = follow.New(g.store, g.log, platform.ConfigKey, g.applyConfig, follow.WithPause(configPause),
+		follow.WithWait(watchWait), follow.WithRest(g.rests, g.configAt))
+	g.watchMembers = follow.New(g.store, g.log, platform.MemberPrefix, g.applyMembers, follow.WithPause(memberPause),
+		follow.WithWait(watchWait), follow.WithLost(g.membersLost), follow.WithRest(g.rests, g.membersAt))
 	g.fleet.Store(&fleet{})
 	return g
 }
 
 // set returns the settings in force.
 func (g *Gate) set() *setup.Gate {
-	return g.own.Load()
+	return g.current.Load()
 }
 
 // Run serves until ctx ends, then finishes the requests in progress; its error is an *Error.
@@ -180,10 +188,8 @@
 	}()
 	go g.register(work)
 	go g.catchUp(work)
-	go follow.New(g.store, g.log, platform.ConfigKey, g.applyConfig,
-		follow.WithPause(configPause), follow.WithWait(g.watchWait)).Run(work)
-	go follow.New(g.store, g.log, platform.MemberPrefix, g.applyMembers,
-		follow.WithPause(memberPause), follow.WithWait(g.watchWait), follow.WithLost(g.membersLost)).Run(work)
+	go g.watchConfig.Run(work)
+	go g.watchMembers.Run(work)
 	go g.sweep(work)
 	go g.lead.run(ctx)
 	go proc.Reload(work, g.log, g.file, g.reload)
@@ -269,29 +275,3 @@
 	b.Share(g.entries())
 	return b
 }
-
-const (
-	// watchers is the number of entries whose watches wait for a short time only. A watch can fall
-	// silent; theirs end in time to read a change within the two seconds that it may take, and
-	// their beats tell the others.
-	watchers  = 2
-	watchFast = 900 * time.Millisecond
-	// watchSlow is the wait of the other entries, which grows with their number.
-	watchSlow     = 5 * time.Second
-	watchSlowEach = 150 * time.Millisecond
-)
-
-// watchWait returns how long this entry's next watch waits. The entries with the first names among
-// those that hear each other watch closely.
-func (g *Gate) watchWait() time.Duration {
-	before := 0
-	for _, p := range g.gossip.Peers() {
-		if p.Alive() && p.Beat.Name < g.set().Name {
-			before++
-		}
-	}
-	if before < watchers {
-		return watchFast
-	}
-	return proc.Jitter(watchSlow + watchSlowEach*time.Duration(g.entries()))
-}
--- a/io/gate/lead.go
+++ b/io/gate/lead.go
@@ -172,7 +172,7 @@
 		return
 	}
 	away := make(map[uint32]bool)
-	work := l.gate.demand.rate(l.gate)
+	work := l.gate.demanded()
 	for name, service := range d.table.Services {
 		if service.Engine == nil {
 			continue
@@ -194,7 +194,7 @@
 func (l *lead) outputs(name string, e *route.Engine) float64 {
 	told, tokens, making := l.gate.told(), 0.0, 0.0
 	for _, u := range l.gate.fleet.Load().services[name] {
-		tokens += float64(u.tokens.Load()) + float64(told.load[u.key].Tokens)
+		tokens += float64(u.tokens.Load()) + beat.Block*float64(told.load[u.key].Blocks)
 		making += float64(u.making.Load()) + float64(told.load[u.key].Making)
 	}
 	return max(tokens/float64(max(1, e.Capacity)), making/float64(max(1, e.Slots)))
--- a/io/gate/members.go
+++ b/io/gate/members.go
@@ -18,8 +18,42 @@
 
 // listed is the list of upstreams as the store holds it.
 type listed struct {
-	Revision int64 // Of the newest change that is known.
-	Items    map[string]platform.Item
+	Revision int64                    // Of the newest change that is known.
+	Whole    bool                     // Set on the whole list, which has all that are not gone.
+	Items    map[string]platform.Item // By id.
+	Gone     map[string]int64         // Revisions of removals by id.
+	floor    int64                    // Removals up to here are not in Gone.
+}
+
+// mostGone bounds the removals that are kept to be told.
+const mostGone = 1000
+
+// since returns what changed after a revision, or the whole list if that is not known.
+func (l *listed) since(after int64) *listed {
+	changes := &listed{Revision: l.Revision, Whole: after < l.floor, Items: make(map[string]platform.Item), Gone: make(map[string]int64)}
+	for id, item := range l.Items {
+		if changes.Whole || item.Revision > after {
+			changes.Items[id] = item
+		}
+	}
+	for id, revision := range l.Gone {
+		if !changes.Whole && revision > after {
+			changes.Gone[id] = revision
+		}
+	}
+	return changes
+}
+
+// remove takes an entry out of the list.
+func (l *listed) remove(id string, revision int64) {
+	delete(l.Items, id)
+	if len(l.Gone) >= mostGone {
+		for _, at := range l.Gone {
+			l.floor = max(l.floor, at)
+		}
+		clear(l.Gone)
+	}
+	l.Gone[id] = revision
 }
 
 // applyMembers brings the set of upstreams up to date.
@@ -41,10 +75,14 @@
 				g.removeMember(id, u.Revision)
 			}
 		}
-		g.listed.Revision = max(g.listed.Revision, u.Revision)
+		if !g.known {
+			g.listed.floor = u.Revision
+		}
 		g.known = true
 	}
+	g.listed.Revision = max(g.listed.Revision, u.Revision)
 	g.publish()
+	g.gossip.Kick()
 }
 
 // applyMember takes over one entry of the list.
@@ -68,6 +106,7 @@
 		return
 	}
 	g.listed.Items[id] = item
+	delete(g.listed.Gone, id)
 	if had && *old == *m {
 		return
 	}
@@ -84,7 +123,7 @@
 	if outcome == member.Known {
 		return
 	}
-	delete(g.listed.Items, id)
+	g.listed.remove(id, revision)
 	g.log.Info("member removed", "id", id, "outcome", outcome, "revision", revision)
 }
 
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"pimentoseam/core/beat"
 	"pimentoseam/core/cached"
 	"pimentoseam/core/call"
 	"pimentoseam/core/member"
@@ -23,7 +24,6 @@
 	end := notRun
 	chains := cached.Chains(x.call.Model, x.call.Shared())
 	x.gate.prompted.Add(uint64(x.gate.placer.Work(x.call.Prompt, x.own()).Milliseconds()))
-	x.gate.output.Add(uint64(x.call.Output))
 	for {
 		choice, engines, ok := x.place(service, chains)
 		if !ok {
@@ -130,7 +130,7 @@
 		engines = append(engines, &place.Engine{
 			ID: info.ID, Zone: info.Zone, Prefill: info.Role == member.Prefill,
 			Waiting: u.ahead(x.route.Priority, more),
-			Making:  int(u.making.Load()) + int(more.Making), Tokens: int(u.tokens.Load()) + int(more.Tokens),
+			Making:  int(u.making.Load()) + int(more.Making), Tokens: int(u.tokens.Load()) + beat.Block*int(more.Blocks),
 			Slots: service.Engine.Slots, Memory: service.Engine.Capacity, Held: kept[info.ID], Soon: soon[info.ID],
 		})
 	}
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -29,6 +30,8 @@
 	mostShare    = 16 << 20               // Bytes.
 	// partsKept bounds what one beat tells of processed prompts.
 	partsKept = 200
+	// zonePartsKept bounds the same of a zone's sum.
+	zonePartsKept = 600
 	// seenFor is how long the sum of the other entries' loads is used before it is made anew.
 	seenFor = 20 * time.Millisecond
 )
@@ -36,18 +39,19 @@
 // presence is the value of an entry's key.
 type presence struct {
 	Peer netip.AddrPort `json:"peer"`
+	Zone string         `json:"zone"`
 }
 
 // register makes this entry known to the others and learns of them.
 func (g *Gate) register(ctx context.Context) {
 	for _, seed := range strings.Split(g.set().Seeds, ",") {
 		if addr, err := netip.ParseAddrPort(seed); err == nil {
-			g.gossip.Add(netip.AddrPortFrom(addr.Addr(), g.set().Peer.Port()))
+			g.gossip.Add(netip.AddrPortFrom(addr.Addr(), g.set().Peer.Port()), "")
 		}
 	}
-	value, err := json.Marshal(presence{Peer: g.set().Peer})
+	value, err := json.Marshal(presence{Peer: g.set().Peer, Zone: g.set().Zone})
 	if err != nil {
-		panic(err) // an address always encodes
+		panic(err) // an address and a name always encode
 	}
 	var lease int64
 	for ctx.Err() == nil {
@@ -85,53 +89,140 @@
 			g.log.Warn("entry not understood", "key", item.Key, "err", err)
 			continue
 		}
-		g.gossip.Add(p.Peer)
+		g.gossip.Add(p.Peer, p.Zone)
 	}
 	return lease, nil
 }
 
-// beat returns this entry's present state for the others.
-func (g *Gate) beat() *beat.Beat {
-	b := &beat.Beat{
-		Name: g.set().Name, Start: g.began.UnixNano(), Seq: g.beats.Add(1), Config: g.version(), Share: g.set().Share.String(),
-		Demand: beat.Demand{Prompt: g.prompted.Load(), Output: g.output.Load()}, Away: g.lead.changing(),
+// voice is what a gate tells other entries and hears from them.
+type voice struct {
+	*Gate
+}
+
+// Beat returns this entry's present state for the others of its zone.
+func (g voice) Beat() *beat.Beat {
+	b := g.state()
+	b.Loads = loads(g.own())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.Parts, g.parts = g.parts, nil
+	return b
+}
+
+// Sum returns the present state of this entry's zone for the other zones.
+func (g voice) Sum() *beat.Beat {
+	b := g.state()
+	sum := g.own()
+	away := make(map[uint32]bool)
+	for _, key := range b.Away {
+		away[key] = true
 	}
-	for _, list := range g.fleet.Load().services {
-		for _, u := range list {
-			if l, busy := u.load(); busy {
-				b.Loads = append(b.Loads, l)
-			}
+	for _, p := range g.gossip.Peers() {
+		b.Entries++
+		if !p.Alive() {
+			continue
 		}
+		add(sum, p.Beat.Loads)
+		b.Rate += p.Beat.Rate
+		b.Sees = b.Sees || p.Beat.Sees
+		for _, key := range p.Beat.Away {
+			away[key] = true
+		}
+	}
+	b.Loads, b.Away = loads(sum), b.Away[:0]
+	for key := range away {
+		b.Away = append(b.Away, key)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.Parts, g.zoneParts = g.zoneParts, nil
+	return b
+}
+
+// state returns what beats and sums have in common.
+func (g *Gate) state() *beat.Beat {
+	set := g.set()
+	b := &beat.Beat{
+		Name: set.Name, Zone: set.Zone, Entries: 1, Start: g.began.UnixNano(), Seq: g.beats.Add(1), Sees: g.sees(),
+		Config: g.version(), Share: set.Share.String(), Rate: g.demand.rate(g.prompted.Load()), Away: g.lead.changing(),
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b.Members = g.listed.Revision
-	b.Parts, g.parts = g.parts, nil
 	return b
 }
 
+// own returns what this entry has in progress by upstream key.
+func (g *Gate) own() map[uint32]beat.Load {
+	sum := make(map[uint32]beat.Load)
+	for key, u := range g.fleet.Load().byKey {
+		if l, busy := u.load(); busy {
+			sum[key] = l
+		}
+	}
+	return sum
+}
+
+// add adds loads to a sum by upstream key.
+func add(sum map[uint32]beat.Load, list []beat.Load) {
+	for _, l := range list {
+		s := sum[l.Key]
+		s.Key = l.Key
+		s.Running += l.Running
+		s.Making += l.Making
+		s.Blocks += l.Blocks
+		for i := range s.Waiting {
+			s.Waiting[i] += l.Waiting[i]
+		}
+		sum[l.Key] = s
+	}
+}
+
+func loads(sum map[uint32]beat.Load) []beat.Load {
+	list := make([]beat.Load, 0, len(sum))
+	for _, l := range sum {
+		list = append(list, l)
+	}
+	return list
+}
+
 // noteParts records that an upstream has processed chains, or will after a delay, here and for the others.
 func (g *Gate) noteParts(u *upstream, id string, chains []cached.Chain, delay time.Duration) {
-	g.cached.Note(id, chains, delay)
+	news := g.cached.Note(id, chains, delay)
+	parts := make([]beat.Part, len(news))
+	for i, c := range news {
+		parts[i] = beat.Part{Key: u.key, Chain: uint64(c), Delay: uint32(delay.Milliseconds())}
+	}
+	relay := g.gossip.Relay()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, c := range chains {
-		if len(g.parts) < partsKept {
-			g.parts = append(g.parts, beat.Part{Key: u.key, Chain: uint64(c), Delay: uint32(delay.Milliseconds())})
-		}
+	g.parts = append(g.parts, parts[:min(len(parts), max(0, partsKept-len(g.parts)))]...)
+	if relay {
+		g.tellZones(parts)
 	}
 }
 
-// hear takes over what another entry tells.
-func (g *Gate) hear(b *beat.Beat) {
+// tellZones has the next sum of the zone tell of parts; the lock must be held.
+func (g *Gate) tellZones(parts []beat.Part) {
+	g.zoneParts = append(g.zoneParts, parts[:min(len(parts), max(0, zonePartsKept-len(g.zoneParts)))]...)
+}
+
+// Hear takes over what another entry or zone tells.
+func (g voice) Hear(b *beat.Beat) {
 	f := g.fleet.Load()
 	for _, p := range b.Parts {
 		if u := f.byKey[p.Key]; u != nil {
 			g.cached.Note(u.info.Load().ID, []cached.Chain{cached.Chain(p.Chain)}, time.Duration(p.Delay)*time.Millisecond)
 		}
 	}
+	relay := !b.Sum && g.gossip.Relay()
 	g.mu.Lock()
-	behind := b.Members > g.listed.Revision || b.Config > g.version()
+	if relay {
+		g.tellZones(b.Parts)
+	}
+	g.rumour.config = max(g.rumour.config, b.Config)
+	g.rumour.members = max(g.rumour.members, b.Members)
+	behind := g.lagging()
 	g.mu.Unlock()
 	if !behind {
 		return
@@ -171,16 +262,25 @@
 }
 
 func (g *Gate) fetchMembers(ctx context.Context, b *beat.Beat) {
+	after := g.membersAt()
+	g.mu.Lock()
+	if !g.known {
+		after = 0
+	}
+	g.mu.Unlock()
 	var l listed
-	if !g.fetch(ctx, b, "/members", &l) {
+	if !g.fetch(ctx, b, "/members?after="+strconv.FormatInt(after, 10), &l) {
 		return
 	}
-	u := follow.Update{Whole: true, Revision: l.Revision}
+	u := follow.Update{Whole: l.Whole, Revision: l.Revision}
 	for _, item := range l.Items {
 		u.Items = append(u.Items, item)
 	}
+	for id, revision := range l.Gone {
+		u.Items = append(u.Items, platform.Item{Key: platform.MemberPrefix + id, Revision: revision, Removed: true})
+	}
 	g.applyMembers(u)
-	g.log.Info("members", "revision", l.Revision, "from", b.Name)
+	g.log.Info("members", "revision", l.Revision, "after", after, "changes", len(u.Items), "whole", l.Whole, "from", b.Name)
 }
 
 // fetch asks the entry that sent b; it logs and returns false if there is no usable answer.
@@ -220,21 +320,25 @@
 		}
 		g.write(w, d.item)
 	})
-	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			after = 0 // All of them.
+		}
 		g.mu.Lock()
-		data, err := cbor.Marshal(g.listed)
+		known, changes := g.known, g.listed.since(after)
 		g.mu.Unlock()
-		g.writeBytes(w, data, err)
+		if !known {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		g.write(w, changes)
 	})
 	return mux
 }
 
 func (g *Gate) write(w http.ResponseWriter, v any) {
 	data, err := cbor.Marshal(v)
-	g.writeBytes(w, data, err)
-}
-
-func (g *Gate) writeBytes(w http.ResponseWriter, data []byte, err error) {
 	if err != nil {
 		g.log.Error("not shared", "err", err)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -274,7 +378,7 @@
 		away[key] = true
 	}
 	old := time.Duration(0)
-	for _, p := range g.gossip.Peers() {
+	for _, p := range append(g.gossip.Peers(), g.gossip.Zones()...) {
 		if !p.Alive() {
 			continue
 		}
@@ -282,16 +386,7 @@
 		for _, key := range p.Beat.Away {
 			away[key] = true
 		}
-		for _, l := range p.Beat.Loads {
-			s := sum[l.Key]
-			s.Running += l.Running
-			s.Making += l.Making
-			s.Tokens += l.Tokens
-			for i := range s.Waiting {
-				s.Waiting[i] += l.Waiting[i]
-			}
-			sum[l.Key] = s
-		}
+		add(sum, p.Beat.Loads)
 	}
 	o := &others{at: time.Now(), old: old, load: sum, away: away}
 	g.others.Store(o)
@@ -300,5 +395,9 @@
 
 // entries returns how many entries share the budgets, those lost a short while ago included.
 func (g *Gate) entries() int {
-	return 1 + len(g.gossip.Peers())
+	n := 1 + len(g.gossip.Peers())
+	for _, z := range g.gossip.Zones() {
+		n += int(z.Beat.Entries)
+	}
+	return n
 }
--- a/io/gate/reload.go
+++ b/io/gate/reload.go
@@ -14,7 +14,7 @@
 	if len(change.Now) == 0 {
 		return change, nil
 	}
-	g.own.Store(next)
+	g.current.Store(next)
 	g.store.Move(next.Store)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -41,7 +41,7 @@
 // load returns what this gate has in progress at the upstream and whether it is anything.
 func (u *upstream) load() (beat.Load, bool) {
 	l := beat.Load{
-		Key: u.key, Running: uint32(u.running.Load()), Making: uint32(u.making.Load()), Tokens: uint32(u.tokens.Load()),
+		Key: u.key, Running: uint32(u.running.Load()), Making: uint32(u.making.Load()), Blocks: uint32(u.tokens.Load() / beat.Block),
 	}
 	busy := l.Running > 0 || l.Making > 0
 	for i := range l.Waiting {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -14,32 +15,47 @@
 )
 
 const (
-	// everyLeast is the interval of beats among a few entries.
+	// everyLeast is the interval of beats among the few entries of a zone.
 	everyLeast = 80 * time.Millisecond
 	// everyPeer lengthens the interval by the number of peers, so that a process handles at most
 	// 70 beats a second.
 	everyPeer = 14 * time.Millisecond
-	// quietTime is the silence after which a peer's load counts no more.
-	quietTime = 1500 * time.Millisecond
+	// quietTime is the silence after which a peer's load counts no more, quietBeats the same in
+	// intervals of beats where those are long.
+	quietTime  = 1500 * time.Millisecond
+	quietBeats = 4
 	// slowEvery is how many beats pass between those to a peer that is silent.
 	slowEvery = 10
 	// forgetTime is the silence after which a peer is no longer sent to.
 	forgetTime = 2 * time.Minute
+	// sumEvery is the interval of a zone's sums to another zone; they are as new as the beats that
+	// they sum up.
+	sumEvery = 130 * time.Millisecond
+	// secondSum is how many intervals pass between the sums of the second relay of a zone, which
+	// bridge the time until the loss of the first one is noticed.
+	secondSum = 3
+	// relays is the number of entries that send their zone's sum.
+	relays = 2
+	// mostMeet bounds the entries that a newcomer is told of.
+	mostMeet = 16
+	// kickPause keeps changes that come one after another from a beat each.
+	kickPause = 20 * time.Millisecond
 	// mostBeat bounds a datagram; it fits into a few packets.
 	mostBeat = 32 << 10
 )
 
-// Peer is another entry as its beats show it.
+// Peer is another entry as its beats show it, or another zone as its sums do.
 type Peer struct {
 	Addr  netip.AddrPort
 	Beat  *beat.Beat // Nil until one was received.
 	heard time.Time
 	added time.Time
+	quiet time.Duration
 }
 
 // Alive reports whether the peer was heard lately.
 func (p *Peer) Alive() bool {
-	return p.Beat != nil && time.Since(p.heard) < quietTime
+	return p.Beat != nil && time.Since(p.heard) < p.quiet
 }
 
 // Age returns how long ago the peer was heard.
@@ -47,16 +63,68 @@
 	return time.Since(p.heard)
 }
 
-// Gossip sends this entry's beats and keeps those of others.
+// newer reports whether a beat replaces what is known of the peer.
+func (p *Peer) newer(b *beat.Beat) bool {
+	old := p.Beat
+	return old == nil || !p.Alive() || b.Start > old.Start || (b.Start == old.Start && b.Seq > old.Seq)
+}
+
+// far is another availability zone.
+type far struct {
+	entries map[netip.AddrPort]bool
+	sums    map[string]*Peer // By the relay that made them.
+}
+
+// newest returns the newest sum of the zone, nil if there is none.
+func (f *far) newest() *Peer {
+	var found *Peer
+	for _, p := range f.sums {
+		if found == nil || p.heard.After(found.heard) {
+			found = p
+		}
+	}
+	return found
+}
+
+// target returns an entry of the zone that is likely alive: the relay that was heard last, else any.
+func (f *far) target() netip.AddrPort {
+	if p := f.newest(); p != nil && p.Alive() && p.Addr.IsValid() {
+		return p.Addr
+	}
+	n := rand.N(max(1, len(f.entries)))
+	for addr := range f.entries {
+		if n == 0 {
+			return addr
+		}
+		n--
+	}
+	return netip.AddrPort{}
+}
+
+// Gossip sends this entry's beats to its zone and keeps those of others. The entries with the first names
+// of a zone also send its sum to the other zones, where the receiver passes it on to its own.
 type Gossip struct {
 	listen netip.AddrPort
+	name   string
+	zone   string
 	log    *slog.Logger
-	make   func() *beat.Beat
-	heard  func(*beat.Beat)
+	source Source
+	conn   atomic.Pointer[net.UDPConn] // Nil before it is open.
+	kicks  chan struct{}
 
-	conn  atomic.Pointer[net.UDPConn] // Nil before it is open.
 	mu    sync.Mutex
-	peers map[netip.AddrPort]*Peer
+	peers map[netip.AddrPort]*Peer // Of this zone, and those whose zone is not known yet.
+	zones map[string]*far
+}
+
+// Source makes what is sent and takes what is received.
+type Source interface {
+	// Beat returns the entry's own state.
+	Beat() *beat.Beat
+	// Sum returns the state of the entry's zone.
+	Sum() *beat.Beat
+	// Hear takes over a beat or a sum that is newer than those before.
+	Hear(*beat.Beat)
 }
 
 // Error reports a socket that can't be opened.
@@ -75,24 +143,46 @@
 	return e.Cause
 }
 
-// New returns a Gossip that asks make for each beat to send and hands those received to heard.
-func New(listen netip.AddrPort, log *slog.Logger, make func() *beat.Beat, heard func(*beat.Beat)) *Gossip {
-	return &Gossip{listen: listen, log: log, make: make, heard: heard, peers: map[netip.AddrPort]*Peer{}}
+// New returns a Gossip for the named entry of a zone.
+func New(listen netip.AddrPort, name, zone string, log *slog.Logger, source Source) *Gossip {
+	return &Gossip{
+		listen: listen, name: name, zone: zone, log: log, source: source, kicks: make(chan struct{}, 1),
+		peers: make(map[netip.AddrPort]*Peer), zones: make(map[string]*far),
+	}
 }
 
-// Add makes an entry known; its own address is ignored.
-func (g *Gossip) Add(addr netip.AddrPort) {
+// Add makes an entry known, with an empty zone if that is not known; its own address is ignored.
+func (g *Gossip) Add(addr netip.AddrPort, zone string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.add(addr, zone)
+}
+
+func (g *Gossip) add(addr netip.AddrPort, zone string) {
 	if addr == g.listen || !addr.IsValid() {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	if zone != "" && zone != g.zone {
+		delete(g.peers, addr)
+		g.far(zone).entries[addr] = true
+		return
+	}
 	if _, ok := g.peers[addr]; !ok {
 		g.peers[addr] = &Peer{Addr: addr, added: time.Now()}
 	}
 }
 
-// Peers returns the known entries as they stand.
+// far returns what is known of another zone; the lock must be held.
+func (g *Gossip) far(zone string) *far {
+	f := g.zones[zone]
+	if f == nil {
+		f = &far{entries: make(map[netip.AddrPort]bool), sums: make(map[string]*Peer)}
+		g.zones[zone] = f
+	}
+	return f
+}
+
+// Peers returns the other entries of the zone as they stand, and those whose zone is not known yet.
 func (g *Gossip) Peers() []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -103,6 +193,43 @@
 	return list
 }
 
+// Zones returns the newest sum of each other zone.
+func (g *Gossip) Zones() []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]Peer, 0, len(g.zones))
+	for _, f := range g.zones {
+		if p := f.newest(); p != nil {
+			list = append(list, *p)
+		}
+	}
+	return list
+}
+
+// Relay reports whether this entry sends the sum of its zone.
+func (g *Gossip) Relay() bool {
+	return g.rank() < relays
+}
+
+// rank returns how many living entries of the zone have names before this one's.
+func (g *Gossip) rank() int {
+	n := 0
+	for _, p := range g.Peers() {
+		if p.Alive() && p.Beat.Name < g.name {
+			n++
+		}
+	}
+	return n
+}
+
+// Kick has the next beat sent at once, since something changed that others wait for.
+func (g *Gossip) Kick() {
+	select {
+	case g.kicks <- struct{}{}:
+	default:
+	}
+}
+
 // Run sends and receives until ctx ends; its error is an *Error.
 func (g *Gossip) Run(ctx context.Context) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(g.listen))
@@ -112,7 +239,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	g.conn.Store(conn)
-	go g.send(ctx, conn)
+	go g.send(ctx)
 	g.receive(ctx, conn)
 	return nil
 }
@@ -128,26 +255,91 @@
 	}
 }
 
-func (g *Gossip) send(ctx context.Context, conn *net.UDPConn) {
-	for n := 0; ctx.Err() == nil; n++ {
-		targets := g.targets(n)
-		if len(targets) > 0 {
-			data := g.make().Encode()
-			for _, addr := range targets {
-				if _, err := conn.WriteToUDPAddrPort(data, addr); err != nil && ctx.Err() == nil {
-					g.log.Debug("beat not sent", "peer", addr, "err", err)
-				}
+// send sends beats and sums until ctx ends.
+func (g *Gossip) send(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var beats int
+	var nextBeat, nextSum time.Time
+	for ctx.Err() == nil {
+		kicked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-g.kicks:
+			proc.Sleep(ctx, kickPause)
+			kicked = true
+		}
+		if now := time.Now(); kicked || !now.Before(nextBeat) {
+			g.sendBeat(beats)
+			beats++
+			nextBeat = now.Add(proc.Jitter(2 * g.every()))
+		}
+		if now := time.Now(); kicked || !now.Before(nextSum) {
+			rank := g.rank()
+			if rank < relays {
+				g.sendSum()
+			}
+			interval := 2 * sumEvery
+			if rank > 0 {
+				interval *= secondSum
 			}
+			nextSum = now.Add(proc.Jitter(interval) * 2 / 3)
 		}
-		proc.Sleep(ctx, proc.Jitter(2*g.every()))
+		timer.Reset(max(0, min(time.Until(nextBeat), time.Until(nextSum))))
+	}
+}
+
+func (g *Gossip) sendBeat(n int) {
+	targets := g.targets(n)
+	if len(targets) == 0 {
+		return
+	}
+	b := g.source.Beat()
+	b.Peer = g.listen
+	data := b.Encode()
+	for _, addr := range targets {
+		g.Tell(addr, data)
 	}
 }
 
+// sendSum sends the zone's sum to one entry of each other zone.
+func (g *Gossip) sendSum() {
+	g.mu.Lock()
+	targets := make([]netip.AddrPort, 0, len(g.zones))
+	for _, f := range g.zones {
+		if addr := f.target(); addr.IsValid() {
+			targets = append(targets, addr)
+		}
+	}
+	g.mu.Unlock()
+	if len(targets) == 0 {
+		return
+	}
+	data := g.sum(nil).Encode()
+	for _, addr := range targets {
+		g.Tell(addr, data)
+	}
+}
+
+// sum returns the zone's sum with some entries to meet.
+func (g *Gossip) sum(meet []netip.AddrPort) *beat.Beat {
+	s := g.source.Sum()
+	s.Sum, s.Peer, s.Meet = true, g.listen, meet
+	return s
+}
+
 // every returns the mean interval of beats.
 func (g *Gossip) every() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(everyLeast, time.Duration(len(g.peers))*everyPeer) * 2 / 3
+	return g.interval() * 2 / 3
+}
+
+// interval is the longest time between beats; the lock must be held.
+func (g *Gossip) interval() time.Duration {
+	return max(everyLeast, time.Duration(len(g.peers))*everyPeer)
 }
 
 // targets returns the peers that get the n-th beat and forgets those silent for long.
@@ -188,27 +380,99 @@
 			g.log.Warn("beat not understood", "peer", from, "err", err)
 			continue
 		}
-		if g.note(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b) {
-			g.heard(b)
+		if b.Name == g.name && b.Zone == g.zone {
+			continue
+		}
+		switch {
+		case b.Sum:
+			g.takeSum(b)
+		case b.Zone != g.zone:
+			g.welcome(b)
+		default:
+			g.takeBeat(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b)
 		}
 	}
 }
 
-// note keeps a beat and reports whether it is newer than those before.
-func (g *Gossip) note(from netip.AddrPort, b *beat.Beat) bool {
+// takeBeat keeps a beat of an entry of this zone.
+func (g *Gossip) takeBeat(from netip.AddrPort, b *beat.Beat) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	p, ok := g.peers[from]
-	if !ok {
-		p = &Peer{Addr: from, added: time.Now()}
-		g.peers[from] = p
-	}
-	if old := p.Beat; old != nil && (b.Start < old.Start || (b.Start == old.Start && b.Seq <= old.Seq)) && time.Since(p.heard) < quietTime {
-		return false
+	g.add(from, b.Zone)
+	p := g.peers[from]
+	if p == nil || !p.newer(b) {
+		g.mu.Unlock()
+		return
 	}
 	if !p.Alive() {
 		g.log.Info("peer heard", "peer", from, "name", b.Name, "config", b.Config)
 	}
-	p.Beat, p.heard = b, time.Now()
-	return true
+	p.Beat, p.heard, p.quiet = b, time.Now(), max(quietTime, quietBeats*g.interval())
+	g.mu.Unlock()
+	g.source.Hear(b)
+}
+
+// takeSum keeps a sum of another zone and passes it on to this one.
+func (g *Gossip) takeSum(b *beat.Beat) {
+	if b.Zone == g.zone {
+		return // The zone's own entries tell it better.
+	}
+	g.mu.Lock()
+	for _, addr := range b.Meet {
+		g.add(addr, "")
+	}
+	f := g.far(b.Zone)
+	g.add(b.Peer, b.Zone)
+	p := f.sums[b.Name]
+	if p == nil {
+		p = &Peer{Addr: b.Peer}
+		f.sums[b.Name] = p
+	}
+	if !p.newer(b) {
+		g.mu.Unlock()
+		return
+	}
+	if last := f.newest(); last == nil || !last.Alive() {
+		g.log.Info("zone heard", "zone", b.Zone, "name", b.Name, "entries", b.Entries, "config", b.Config)
+	}
+	p.Addr, p.Beat, p.heard, p.quiet = b.Peer, b, time.Now(), quietTime
+	for name, old := range f.sums {
+		if time.Since(old.heard) > forgetTime {
+			delete(f.sums, name)
+		}
+	}
+	var targets []netip.AddrPort
+	if !b.Passed {
+		for addr, p := range g.peers {
+			if p.Alive() {
+				targets = append(targets, addr)
+			}
+		}
+	}
+	g.mu.Unlock()
+	if len(targets) > 0 {
+		passed := *b
+		passed.Passed, passed.Meet = true, nil
+		data := passed.Encode()
+		for _, addr := range targets {
+			g.Tell(addr, data)
+		}
+	}
+	g.source.Hear(b)
+}
+
+// welcome answers an entry of another zone, which knows few others: with this zone's sum and entries of
+// its own zone.
+func (g *Gossip) welcome(b *beat.Beat) {
+	g.mu.Lock()
+	g.add(b.Peer, b.Zone)
+	var meet []netip.AddrPort
+	for addr := range g.far(b.Zone).entries {
+		if addr != b.Peer && len(meet) < mostMeet {
+			meet = append(meet, addr)
+		}
+	}
+	g.mu.Unlock()
+	s := g.sum(meet)
+	s.Passed = true
+	g.Tell(b.Peer, s.Encode())
 }
