follow: space out calls to a store that fails by the number of entries

Cause: while the store refused calls, each of 28 entries made two calls a second that failed, and failed calls are charged like others; at a start each entry watched before it could know that others do. Change: the longest time between failed calls of an entry grows by 0.1 s with each entry: together they find the store's return as soon as before. The list of upstreams counts as unavailable meanwhile, also between the calls. After the first read an entry waits 0.25 s for the beats of others.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -15,7 +15,9 @@
 	watchMost = 25 * time.Second       // Of one waiting call; the store allows 30 s.
 	retryMin  = 250 * time.Millisecond // After the first failed call.
 	restStep  = 50 * time.Millisecond  // Between looks whether the changes are still learned otherwise.
-	retryMax  = 1 * time.Second        // Keeps the store's return from being missed for long.
+	// settleTime is the time after the first read in which others tell that they watch.
+	settleTime = 250 * time.Millisecond
+	retryMax   = 1 * time.Second // Keeps the store's return from being missed for long.
 )
 
 // Update is what was learned: all items below the prefix, or those that changed.
@@ -36,7 +38,8 @@
 	wait   func() time.Duration
 	rests  func() bool
 	known  func() int64
-	away   bool
+	retry  func() time.Duration
+	away   atomic.Bool
 	heard  atomic.Int64 // Last success by uptime; 0 after a failure.
 }
 
@@ -65,11 +68,17 @@
 	return func(f *Follower) { f.rests, f.known = rests, known }
 }
 
+// WithRetry sets the longest time between calls that fail.
+func WithRetry(most func() time.Duration) Option {
+	return func(f *Follower) { f.retry = most }
+}
+
 // New returns a Follower that hands what it learns to apply, one update at a time.
 func New(store *platform.Store, log *slog.Logger, prefix string, apply func(Update), opts ...Option) *Follower {
 	f := &Follower{
 		store: store, log: log, prefix: prefix, apply: apply, lost: func() {},
 		wait: func() time.Duration { return watchMost }, rests: func() bool { return false }, known: func() int64 { return 0 },
+		retry: func() time.Duration { return retryMax },
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -85,7 +94,7 @@
 		if err != nil {
 			f.failed(ctx, err)
 			proc.Sleep(ctx, proc.Jitter(retry))
-			retry = min(2*retry, retryMax)
+			retry = min(2*retry, f.retry())
 			f.rest(ctx)
 			continue
 		}
@@ -93,6 +102,7 @@
 		f.regained()
 		f.heard.Store(uptime())
 		f.apply(Update{Whole: true, Items: all.Items, Revision: all.Current})
+		proc.Sleep(ctx, settleTime)
 		f.watch(ctx, all.Current)
 	}
 }
@@ -123,6 +133,7 @@
 	for ctx.Err() == nil && f.rests() {
 		rested = true
 		f.heard.Store(0)
+		f.away.Store(false)
 		proc.Sleep(ctx, restStep)
 	}
 	return rested
@@ -134,6 +145,11 @@
 	return at > 0 && time.Duration(uptime()-at) < within
 }
 
+// Away reports whether the store does not answer and nobody else is relied on.
+func (f *Follower) Away() bool {
+	return f.away.Load()
+}
+
 // begun is when this process began; the time of day may jump, what is measured from here does not.
 var begun = time.Now()
 
@@ -152,15 +168,13 @@
 		return
 	}
 	f.lost()
-	if !f.away {
-		f.away = true
+	if f.away.CompareAndSwap(false, true) {
 		f.log.Warn("store lost", "prefix", f.prefix, "err", err)
 	}
 }
 
 func (f *Follower) regained() {
-	if f.away {
-		f.away = false
+	if f.away.CompareAndSwap(true, false) {
 		f.log.Info("store regained", "prefix", f.prefix)
 	}
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -134,9 +134,9 @@
 	g.gossip = gossip.New(set.Peer, set.Name, set.Zone, g.log, voice{g})
 	g.lead = newLead(g)
 	g.watchConfig = follow.New(g.store, g.log, platform.ConfigKey, g.applyConfig, follow.WithPause(configPause),
-		follow.WithWait(watchWait), follow.WithRest(g.rests, g.configAt))
+		follow.WithWait(watchWait), follow.WithRest(g.rests, g.configAt), follow.WithRetry(g.retryMost))
 	g.watchMembers = follow.New(g.store, g.log, platform.MemberPrefix, g.applyMembers, follow.WithPause(memberPause),
-		follow.WithWait(watchWait), follow.WithLost(g.membersLost), follow.WithRest(g.rests, g.membersAt))
+		follow.WithWait(watchWait), follow.WithLost(g.membersLost), follow.WithRest(g.rests, g.membersAt), follow.WithRetry(g.retryMost))
 	g.fleet.Store(&fleet{})
 	return g
 }
@@ -259,6 +259,9 @@
 	for ctx.Err() == nil {
 		proc.Sleep(ctx, sweepEvery)
 		g.outlet.Sweep()
+		if g.watchMembers.Away() {
+			g.membersLost()
+		}
 		g.expireMembers()
 	}
 }
--- a/io/gate/watch.go
+++ b/io/gate/watch.go
@@ -15,6 +15,20 @@
 	lagTime = 600 * time.Millisecond
 )
 
+// retryEach is the time between calls to a store that fails, for each entry: together they find its return
+// soon, and one that does tells the others.
+const retryEach = 100 * time.Millisecond
+
+// retryMost returns the longest time between this entry's calls to a store that fails.
+func (g *Gate) retryMost() time.Duration {
+	return min(retryLongest, max(retryLeast, retryEach*time.Duration(g.entries())))
+}
+
+const (
+	retryLeast   = time.Second
+	retryLongest = 10 * time.Second
+)
+
 func watchWait() time.Duration {
 	return watchFast
 }
