place: keep requests and fetched parts in their zone

Parts were always fetched from the first engine that kept them. Change: another zone counts for 40 ms; of the engines that keep the same parts one of the reader's zone serves, else any.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -59,8 +59,9 @@
 	// behindWeight is the share of an engine's waiting prompt work that delays an output whose
 	// prompt has been processed elsewhere.
 	behindWeight = 0.25
-	// zoneCost is the delay that a send to another availability zone counts for beside its time.
-	zoneCost = 4 * time.Millisecond
+	// zoneCost is the delay that a send to another availability zone counts for beside its time: it is
+	// the lesser of two evils only once the own zone is well behind.
+	zoneCost = 40 * time.Millisecond
 	// fetchLeast is the number of tokens from which a fetch takes less time than processing them.
 	fetchLeast = 64
 	// reserve is how many times its own size must be free in an engine's memory for a request.
@@ -99,7 +100,6 @@
 
 // Choose returns the cheapest way to serve a job, and false if no engine can.
 func (p *Placer) Choose(job *Job, engines []*Engine) (Choice, bool) {
-	source := best(engines)
 	maker, making := p.maker(job, engines, "")
 	if maker == nil {
 		return Choice{}, false
@@ -107,7 +107,7 @@
 	var found Choice
 	var least time.Duration
 	for _, e := range engines {
-		c := p.reading(job, e, source)
+		c := p.reading(job, e, source(engines, e))
 		cost := time.Duration(workWeight*float64(c.Work)) + apart(e.Zone, job.Zone) + jitter()
 		if e.Prefill {
 			c.Read, c.Make = e, maker
@@ -209,11 +209,16 @@
 	return e.Memory > 0 && e.Tokens+reserve*(job.Prompt+job.Output) > e.Memory
 }
 
-// best returns the engine that keeps most of the prompt, nil if none keeps any.
-func best(engines []*Engine) *Engine {
+// source returns the engine that keeps most of the prompt, nil if none keeps any: among equals one in the
+// zone of the engine that needs it, and any of those, so that no engine's link serves all.
+func source(engines []*Engine, to *Engine) *Engine {
 	var found *Engine
-	for _, e := range engines {
-		if e.Held > 0 && (found == nil || e.Held > found.Held) {
+	first := rand.N(max(1, len(engines)))
+	for i := range engines {
+		e := engines[(first+i)%len(engines)]
+		switch {
+		case e.Held == 0:
+		case found == nil, e.Held > found.Held, e.Held == found.Held && e.Zone == to.Zone && found.Zone != to.Zone:
 			found = e
 		}
 	}
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -17,6 +17,12 @@
 	return e
 }
 
+func west(id string) *place.Engine {
+	e := prefill(id)
+	e.Zone = "west"
+	return e
+}
+
 func job(prompt int) *place.Job {
 	return &place.Job{Prompt: prompt, Output: 40, Zone: "z", Target: 800 * time.Millisecond, Bytes: 163840, Link: 1.3e6}
 }
@@ -53,6 +59,9 @@
 		{"parts are fetched from a busy engine", job(12000), []*place.Engine{decode("d"), holds(busy(prefill("p"), time.Second), 6000), prefill("q")}, "q", "d", "p"},
 		{"an engine that is processing the parts", job(12000), []*place.Engine{decode("d"), soon(busy(prefill("p"), 60*time.Millisecond), 9000), prefill("q")}, "p", "d", ""},
 		{"what is not processed yet can't be fetched", job(12000), []*place.Engine{decode("d"), soon(busy(prefill("p"), time.Second), 9000), prefill("q")}, "q", "d", ""},
+		{"parts are fetched from the same zone", job(12000), []*place.Engine{decode("d"), holds(busy(west("p"), time.Second), 6000), holds(busy(prefill("r"), time.Second), 6000), prefill("q")}, "q", "d", "r"},
+		{"the own zone, if it is not far behind", job(12000), []*place.Engine{decode("d"), busy(prefill("p"), 20*time.Millisecond), west("q")}, "p", "d", ""},
+		{"another zone, if the own one is far behind", job(12000), []*place.Engine{decode("d"), busy(prefill("p"), 200*time.Millisecond), west("q")}, "q", "d", ""},
 		{"few tokens are not fetched", job(900), []*place.Engine{decode("d"), holds(busy(prefill("p"), time.Second), 40), prefill("q")}, "q", "d", ""},
 		{"outputs go where there is room", job(12000), []*place.Engine{full(decode("d")), decode("e"), prefill("p")}, "p", "e", ""},
 	}
