door: say 408 to a head that does not arrive in time

Cause: the server closes a connection whose head is late without a word. Change: the connection itself writes the 408 unless a request is being handled on it; idle connections are closed silently as before. TestFraming has it; TestGone, TestNoLength and TestKeptAtStop are new rows of the same table's kind: callers that leave before an answer or in a body, answers that end with their channel or by a reset, and kept channels when the gate stops.

--- a/io/door/door.go
+++ b/io/door/door.go
@@ -70,7 +70,7 @@
 func (d *Door) open(l route.Limits) *room {
 	r := &room{addr: d.listener.Addr(), conns: make(chan net.Conn), ended: make(chan struct{})}
 	r.server = &http.Server{
-		Handler: d.handler, ReadHeaderTimeout: l.Reading, IdleTimeout: l.Idle, MaxHeaderBytes: l.Header,
+		Handler: http.HandlerFunc(d.handle), ReadHeaderTimeout: l.Reading, IdleTimeout: l.Idle, MaxHeaderBytes: l.Header,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -83,6 +83,15 @@
 	return r
 }
 
+// handle has a request answered.
+func (d *Door) handle(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*tap); ok {
+		c.handle(true)
+		defer c.handle(false)
+	}
+	d.handler.ServeHTTP(w, r)
+}
+
 // retire closes the idle connections of a server that is no longer the newest, and the others after the
 // requests in progress.
 func (d *Door) retire(r *room) {
--- a/io/door/tap.go
+++ b/io/door/tap.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 )
 
@@ -14,24 +17,43 @@
 // stands beside a Transfer-Encoding; another reader may go by it and see other requests.
 type tap struct {
 	*net.TCPConn
-	mu   sync.Mutex
-	seen []byte
+	mu    sync.Mutex
+	seen  []byte
+	begun bool // Bytes have come since the last request was handled; those read with it do not count.
+	busy  bool // A request is being handled.
 }
 
+// slowHead answers a request whose head did not arrive in time; the server would only close the connection.
+const slowHead = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Read reads from the connection.
 func (t *tap) Read(p []byte) (int, error) {
 	n, err := t.TCPConn.Read(p)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if n > 0 {
-		t.mu.Lock()
+		t.begun = true
 		t.seen = append(t.seen, p[:n]...)
 		if len(t.seen) > 2*tapBytes {
 			t.seen = append(t.seen[:0], t.seen[len(t.seen)-tapBytes:]...)
 		}
-		t.mu.Unlock()
+	}
+	if t.begun && !t.busy && errors.Is(err, os.ErrDeadlineExceeded) {
+		t.begun = false
+		if _, failed := io.WriteString(t.TCPConn, slowHead); failed != nil {
+			return n, errors.Join(err, failed)
+		}
 	}
 	return n, err
 }
 
+// handle notes that a request is being handled, or no longer is.
+func (t *tap) handle(busy bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy, t.begun = busy, false
+}
+
 // ambiguous reports whether the head of a request in chunks also states a length.
 func (t *tap) ambiguous(r *http.Request) bool {
 	if len(r.TransferEncoding) == 0 {
--- a/io/gate/framing_test.go
+++ b/io/gate/framing_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -65,7 +66,8 @@
 		{"no version", "GET /plain/x\r\n\r\n", []int{400}, true, false},
 		{"long chunk size", head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nbody\r\n0\r\n\r\n" + hidden, []int{408}, true, false},
 		{"unknown expectation", head + "Content-Length: 4\r\nExpect: wonders\r\n\r\nbody", []int{417}, true, false},
-		{"half a head", "GET /plain/x HTTP/1.1\r\nHost:", nil, true, false},
+		{"half a head", "GET /plain/x HTTP/1.1\r\nHost:", []int{408}, true, false},
+		{"a request and half a head", get + "\r\nGET /plain/x HTTP/1.1\r\nHost:", []int{200}, true, true},
 		{"half a body", head + "Content-Length: 10\r\n\r\nbody", []int{408}, true, false},
 		{"unreadable time left", get + "X-Deadline-Remaining-Ms: soon\r\n\r\n", []int{400}, false, false},
 	}
@@ -73,7 +75,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			id := fmt.Sprintf("r%d", i)
 			silence := 500 * time.Millisecond
-			if strings.HasPrefix(test.name, "half a ") {
+			if strings.Contains(test.name, "half a ") {
 				silence = 4 * time.Second // Above the route's time.
 			}
 			statuses, closed := s.raw(t, strings.ReplaceAll(test.sent, "%", id), silence)
@@ -173,3 +175,118 @@
 		t.Errorf("got an end of %q and %v, want a stream that is cut short", rest[max(0, len(rest)-20):], err)
 	}
 }
+
+// TestGone has callers leave before the answer's head, in the middle of their request's body, and right after
+// connecting: the upstream hears of the first in half a second, and the others reach none.
+func TestGone(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	app := newReplica(t, "i-1", "app", "")
+	var asked, dropped atomic.Int64
+	app.Handle(func(_ http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		<-r.Context().Done()
+		dropped.Add(1)
+	})
+	s := start(t, store, "", app)
+	s.ready(t)
+	for _, sent := range []string{
+		"GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: g1\r\n\r\n",
+		"POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: g2\r\nContent-Length: 10\r\n\r\nbody",
+		"",
+	} {
+		conn, err := net.Dial("tcp", s.set.Listen.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, sent); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if err := conn.Close(); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, 500*time.Millisecond, "heard of", func() bool { return dropped.Load() == asked.Load() })
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("%d requests reached the upstream, want the first", n)
+	}
+}
+
+// TestNoLength passes on an answer whose end is that of the upstream's connection, and breaks off one that is
+// reset instead.
+func TestNoLength(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	app := newReplica(t, "i-1", "app", "")
+	s := start(t, store, "", app)
+	s.ready(t)
+	for _, reset := range []bool{false, true} {
+		app.Handle(func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			id := r.Header.Get("X-Attempt-Id")
+			// A caller that left sees nothing.
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\nX-Response-Seal: s\r\nConnection: close\r\n\r\nbody")
+			if reset {
+				time.Sleep(50 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		})
+		answer, body := s.call(t, "POST", "/once/x", fmt.Sprint("n", reset))
+		switch {
+		case !reset && (answer == nil || answer.StatusCode != 200 || body != "body"):
+			t.Errorf("ended by a close: got %v %q", answer, body)
+		case reset && answer != nil && answer.StatusCode != http.StatusBadGateway:
+			t.Errorf("ended by a reset: got %v %q", answer, body)
+		}
+	}
+}
+
+// TestKeptAtStop has a connection that is kept when the gate stops: it is closed while idle, and one with a
+// request in progress gets its whole answer with a word that no other request may follow.
+func TestKeptAtStop(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	app := newReplica(t, "i-1", "app", "")
+	app.Handle(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/plain/slow" {
+			time.Sleep(700 * time.Millisecond)
+		}
+		app.Run(w, r)
+	})
+	s := start(t, store, "", app)
+	s.ready(t)
+	conns := make([]net.Conn, 2)
+	for i, path := range []string{"/plain/x", "/plain/slow"} {
+		conn, err := net.Dial("tcp", s.set.Listen.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: k%d\r\n\r\n", path, i); err != nil {
+			t.Fatal(err)
+		}
+		conns[i] = conn
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.stop()
+	for i, conn := range conns {
+		if err := conn.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		all, err := io.ReadAll(conn)
+		if err != nil {
+			t.Errorf("connection %d: %v, want it closed", i, err)
+		}
+		if !strings.HasPrefix(string(all), "HTTP/1.1 200") || !strings.HasSuffix(string(all), "by i-1") {
+			t.Errorf("connection %d: got %q, want one whole answer", i, all)
+		}
+		if i == 1 && !strings.Contains(string(all), "Connection: close") {
+			t.Errorf("the answer does not say that the connection ends: %q", all)
+		}
+	}
+}
