gate: a fault soak over real gates and agents

TestSoak plays two overlapping series of faults against four gates, four agents with engines and three plain replicas, as processes: kills, stops and freezes, the store busy, silent, muted or without its history, ways to the store and to replicas cut, mute, deaf, slow or reset, replicas that lie, break off or leave, engines that restart, configurations in a row. It checks runs of calls that may run once, refusals against runs, whole answers and streams, configurations that never go back in a boot, and service within 6 s of the last fault, half of what recovery may take. The relay of io/fleet's tests becomes io/simnet and gains ways to be slow, deaf and reset; both soaks use it. Also: a sum of a zone tells of 2,000 upstreams at most, so that it fits a datagram.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	BENCH=$${BENCH:-$(CURDIR)/bench} go test -count=1 -timeout 60m -run 'TestTable' -v ./core/trial ./io/fleet | grep -v -e '^ *---' -e '^=== '
 
 soak: build
-	SEED=$${SEED:-1} LENGTH=$${LENGTH:-3m} go test -count=1 -race -timeout 30m -run TestSoak -v ./io/fleet
+	SEED=$${SEED:-1} LENGTH=$${LENGTH:-3m} go test -count=1 -race -timeout 30m -run TestSoak -v ./io/fleet ./io/gate
 
 mutants: build
 	scripts/mutants.sh
@@ -45,6 +45,7 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./core/parts
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./core/setup
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./core/beat
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./core/notice
 	go test -run '^$$' -fuzz FuzzReadConfig -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzReadMember -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzReadCall -fuzztime $(FUZZTIME) ./platform
--- a/io/fleet/order_test.go
+++ b/io/fleet/order_test.go
@@ -132,14 +132,14 @@
 	r := c.relayUpstream(name)
 	c.startAll()
 	c.eventually(startMax, "a plan for all", func() bool { return c.planned(2) })
-	caught := r.delay("POST /orders", 4500*time.Millisecond)
+	caught := r.Delay("POST /orders", 4500*time.Millisecond)
 	c.submitThrough("entry-1", "v2", 1)
 	select {
 	case <-caught:
 	case <-time.After(startMax):
 		t.Fatal("no order was given")
 	}
-	r.delay("POST /orders", 0)
+	r.Delay("POST /orders", 0)
 	c.kill("agent-" + name)
 	c.submitThrough("entry-1", "v3", 2)
 	c.start("agent-" + name)
--- a/io/fleet/silent_test.go
+++ b/io/fleet/silent_test.go
@@ -13,6 +13,7 @@
 	"pimentoseam/io/fleet"
 	"pimentoseam/io/load"
 	"pimentoseam/io/simflt"
+	"pimentoseam/io/simnet"
 	"pimentoseam/io/simsvc"
 	"pimentoseam/io/vmlist"
 )
@@ -33,7 +34,7 @@
 	for range 2 {
 		time.Sleep(3 * time.Second)
 		for _, r := range relays {
-			r.mute()
+			r.Mute()
 		}
 	}
 	for _, tally := range <-done {
@@ -59,7 +60,7 @@
 // New connections work; what was in progress ends within the progress timeout.
 func TestSilentUpstream(t *testing.T) {
 	c := newCluster(t, 1, 2, 1)
-	var relays []*relay
+	var relays []*simnet.Relay
 	for _, name := range []string{"clerks-1", "clerks-2", "redirect-1"} {
 		relays = append(relays, c.relayUpstream(name))
 	}
@@ -75,7 +76,7 @@
 	go func() { done <- mix.Run(context.Background(), callers, 7*time.Second) }()
 	time.Sleep(2 * time.Second)
 	for _, r := range relays {
-		r.mute()
+		r.Mute()
 	}
 	for _, tally := range <-done {
 		t.Logf("%s: %v, longest %v", tally.Caller, tally.Outcomes, tally.Longest)
@@ -114,7 +115,7 @@
 		if err != nil || status != 200 || json.Unmarshal(body, &reply) != nil || reply.Run != 1 {
 			t.Fatalf("repeat %d: got %d %s %v, want run 1", i, status, body, err)
 		}
-		relays[0].mute()
+		relays[0].Mute()
 	}
 	status, _, body, _ := c.post("entry-1", "/v1/services/redirect-app/orders", fleet.CourierToken, key, []byte("other"))
 	if status != 400 {
@@ -136,7 +137,7 @@
 	done := make(chan []*load.Tally)
 	callers := []load.Caller{{Name: "counter", Token: fleet.CounterToken, Kind: load.Check, Rate: 40, Prompt: 20, Output: 2}}
 	go func() { done <- mix.Run(ctx, callers, 18*time.Second) }()
-	store.cut()
+	store.Cut()
 	time.Sleep(time.Second)
 
 	c.vm("clerks-1", vmlist.Leaving)
--- a/io/fleet/soak_test.go
+++ b/io/fleet/soak_test.go
@@ -19,6 +19,7 @@
 	"pimentoseam/io/fleet"
 	"pimentoseam/io/load"
 	"pimentoseam/io/simflt"
+	"pimentoseam/io/simnet"
 	"pimentoseam/io/vmlist"
 )
 
@@ -72,7 +73,7 @@
 }
 
 // trouble causes one fault or change.
-func (c *cluster) trouble(random *rand.Rand, relays []*relay) {
+func (c *cluster) trouble(random *rand.Rand, relays []*simnet.Relay) {
 	pick := func(format string, n int) string { return fmt.Sprintf(format, 1+random.IntN(n)) }
 	pause := func(least, most int) { time.Sleep(time.Duration(least+random.IntN(most-least)) * time.Millisecond) }
 	switch random.IntN(11) {
@@ -97,7 +98,7 @@
 		pause(500, 8000)
 		c.signal(name, syscall.SIGCONT)
 	case 5:
-		relays[random.IntN(len(relays))].mute()
+		relays[random.IntN(len(relays))].Mute()
 	case 6:
 		name := []simflt.Name{simflt.Lose, simflt.Stale, simflt.Refuse, simflt.Freeze}[random.IntN(4)]
 		c.fault("kv", simflt.Fault{Name: name, On: true, Count: 1 + random.IntN(5)})
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -1,11 +1,13 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,6 +34,8 @@
 	partsKept = 200
 	// zonePartsKept bounds the same of a zone's sum.
 	zonePartsKept = 600
+	// mostLoads bounds the upstreams of a sum, at 24 bytes each, so that it fits a datagram.
+	mostLoads = 2000
 	// seenFor is how long the sum of the other entries' loads is used before it is made anew.
 	seenFor = 20 * time.Millisecond
 )
@@ -130,6 +134,12 @@
 		}
 	}
 	b.Loads, b.Away = loads(sum), b.Away[:0]
+	if len(b.Loads) > mostLoads {
+		// The least busy upstreams are the least harm if they are taken for idle.
+		slices.SortFunc(b.Loads, func(x, y beat.Load) int { return cmp.Compare(y.Running, x.Running) })
+		g.log.Warn("sum cut", "upstreams", len(b.Loads), "told", mostLoads)
+		b.Loads = b.Loads[:mostLoads]
+	}
 	for key := range away {
 		b.Away = append(b.Away, key)
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -40,8 +40,8 @@
 	mostMeet = 16
 	// kickPause keeps changes that come one after another from a beat each.
 	kickPause = 20 * time.Millisecond
-	// mostBeat bounds a datagram; it fits into a few packets.
-	mostBeat = 32 << 10
+	// mostBeat bounds a datagram; a beat fits into one packet, a zone's sum into a few.
+	mostBeat = 64 << 10
 )
 
 // Peer is another entry as its beats show it, or another zone as its sums do.
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -33,10 +34,26 @@
 	kept    map[string]bool // Handles of prompts that were processed and not taken yet.
 }
 
+// Option changes a Replica.
+type Option func(*Replica)
+
+// WithListener has the replica listen there instead of at a free loopback address.
+func WithListener(l net.Listener) Option {
+	return func(r *Replica) { r.server.Listener = l }
+}
+
 // NewReplica returns a running Replica; stage is empty for a plain service.
-func NewReplica(id, service, stage string) *Replica {
+func NewReplica(id, service, stage string, opts ...Option) *Replica {
 	r := &Replica{ID: id, Service: service, stage: stage, runs: map[string]int{}, reads: map[string]int{}, kept: map[string]bool{}, events: 3}
-	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
+	r.server = httptest.NewUnstartedServer(http.HandlerFunc(r.serve))
+	for _, opt := range opts {
+		usual := r.server.Listener
+		opt(r)
+		if r.server.Listener != usual {
+			_ = usual.Close() // Nobody has been told of it.
+		}
+	}
+	r.server.Start()
 	return r
 }
 
@@ -132,8 +149,13 @@
 
 // Entry returns the replica's entry in the store.
 func (r *Replica) Entry(state string) []byte {
+	return r.EntryAt(state, r.Addr())
+}
+
+// EntryAt returns the same with another address, as of a relay before the replica.
+func (r *Replica) EntryAt(state string, addr netip.AddrPort) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z","version":"v1","slots":64,"state":%q,"stage":%q,"sequence":0}`,
-		r.Service, r.Addr(), state, r.Stage())
+		r.Service, addr, state, r.Stage())
 }
 
 // freePath is where a handle is freed by its id.
--- a/io/simop/store.go
+++ b/io/simop/store.go
@@ -134,6 +134,24 @@
 	s.changed = make(chan struct{})
 }
 
+// silence keeps a call until its caller leaves or the store behaves otherwise; the server does not notice
+// a caller that leaves while its body has not been read.
+func (s *Store) silence(r *http.Request) {
+	for {
+		s.mu.Lock()
+		mode, changed := s.mode, s.changed
+		s.mu.Unlock()
+		if mode != Silent {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
@@ -144,8 +162,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case mode == Silent:
-		<-r.Context().Done()
-		return
+		s.silence(r)
+		panic(http.ErrAbortHandler)
 	}
 	path, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/"), "/")
 	switch path {
