gate: have streams go on elsewhere when their engine falls silent

Cause: an engine that goes dark while it streams, or before its first event, held its requests until their callers left; only engines that process prompts were watched. Change: a stream that may be repeated is watched like a prompt: after a second without a byte from the engine on any connection of this entry, beside the time until the first event is due, it goes on at another engine and the silent one gets no work for a while. Streams that may run once are never cut short for silence. TestSilentStream: before, 504 after 8 s, or a stream cut at its caller's time; after, whole within 3 s. Each gate has an address of its own now.

--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -468,3 +468,46 @@
 		time.Sleep(200 * time.Millisecond) // Above the rest of an engine that refused.
 	}
 }
+
+// TestSilentStream has one of two decode engines fall silent, before the first event or in the midst of a
+// stream: a stream that may be resumed goes on at the other engine before its caller leaves.
+func TestSilentStream(t *testing.T) {
+	for name, first := range map[string]int{"before the first event": 0, "after three events": 3} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			store.Put("op/config", config(1, 3000))
+			p, d, e := engines(t)
+			e.Stream(6, 10*time.Millisecond, 0)
+			var asked atomic.Int64
+			d.Handle(func(w http.ResponseWriter, r *http.Request) {
+				asked.Add(1)
+				w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+				w.Header().Set("X-Response-Seal", d.ID+"."+r.Header.Get("X-Attempt-Id"))
+				w.Header().Set("Content-Type", "text/event-stream")
+				for i := range first {
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, d.ID) // A caller that left sees nothing.
+				}
+				if first > 0 {
+					_ = http.NewResponseController(w).Flush() // As above.
+				}
+				<-r.Context().Done()
+			})
+			s := start(t, store, "", p, d, e)
+			s.ready(t)
+			for i := range 8 {
+				began := time.Now()
+				answer, body := s.call(t, "POST", "/model/x", fmt.Sprintf("q%d", i), prompt...)
+				if answer == nil || strings.Count(body, "id: ") != 6 || !strings.HasSuffix(strings.TrimSpace(body), "d-2") {
+					t.Errorf("request %d: got %v %q", i, answer, body)
+				}
+				if took := time.Since(began); took > 3*time.Second {
+					t.Errorf("request %d took %v, its caller would have left after 3.2s", i, took)
+				}
+			}
+			if n := asked.Load(); n < 1 || n > 3 {
+				t.Errorf("the engine that fell silent was asked %d times", n)
+			}
+		})
+	}
+}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -149,7 +149,7 @@
 	}
 	x.started = maker.work(c.Work, x.route.Priority)
 	defer x.started()
-	return x.output(ctx, maker, s, chains)
+	return x.output(ctx, maker, s, chains, c.Delay)
 }
 
 // sameHandle bounds the engines that are asked to go on from one KV cache: if two can't have it, it is
@@ -174,7 +174,7 @@
 		if maker == nil {
 			break
 		}
-		end = x.output(ctx, maker, s, chains)
+		end = x.output(ctx, maker, s, chains, moveTime)
 		if end != notRun || !x.again(ctx, end) {
 			break
 		}
@@ -185,14 +185,27 @@
 	return end
 }
 
-// output has an engine generate the output.
-func (x *exchange) output(ctx context.Context, maker *upstream, s *call.Send, chains []cached.Chain) result {
+// moveTime is how long a KV cache may take to an engine without a byte from it, more than a transfer takes.
+const moveTime = 500 * time.Millisecond
+
+// output has an engine generate the output, whose first event is due after a delay. A stream that may go on
+// elsewhere does so if the engine falls silent; the silence of one that has others in progress is long.
+func (x *exchange) output(ctx context.Context, maker *upstream, s *call.Send, chains []cached.Chain, delay time.Duration) result {
 	id := maker.info.Load().ID
 	if !x.permit() {
 		return exhausted
 	}
 	defer maker.make(x.call.Prompt + x.call.Output)()
-	end := x.send(ctx, maker, s)
+	waiting, stop := context.WithCancel(ctx)
+	defer stop()
+	if x.route.Repeatable() && x.ran+1 < x.route.Attempts {
+		go maker.watchStall(waiting, delay, stop)
+	}
+	began := time.Now()
+	end := x.send(waiting, maker, s)
+	if end == abandoned && waiting.Err() != nil && x.stalled(ctx, maker, id, began) {
+		end = maybeRun
+	}
 	if end == done {
 		x.gate.noteParts(maker, id, chains, 0)
 	} else {
@@ -221,6 +234,17 @@
 	g.log.Info("freed", "id", request, "upstream", instance, "handle", handle.ID, "status", status, "err", err)
 }
 
+// stalled reports whether an attempt was given up because its engine fell silent, and has the engine get no
+// work for a while if so.
+func (x *exchange) stalled(ctx context.Context, u *upstream, id string, began time.Time) bool {
+	if ctx.Err() != nil || x.left() {
+		return false
+	}
+	x.gate.log.Warn("engine stands still", "id", x.call.ID, "upstream", id, "events", x.pieces, "took", time.Since(began))
+	u.breaker.Trip()
+	return true
+}
+
 // prefill has the prompt processed and returns the handle of its KV cache.
 func (x *exchange) prefill(ctx context.Context, engines map[string]*upstream, c place.Choice) (call.Handle, result) {
 	reader := engines[c.Read.ID]
@@ -242,9 +266,7 @@
 		// Processing a prompt may be repeated, so the request has not run.
 		x.ran = ran
 		x.tried[reader] = true
-		if end == abandoned && ctx.Err() == nil && !x.left() {
-			x.gate.log.Warn("engine stands still", "id", x.call.ID, "upstream", c.Read.ID, "took", time.Since(began))
-			reader.breaker.Trip()
+		if end == abandoned && waiting.Err() != nil && x.stalled(ctx, reader, c.Read.ID, began) {
 			end = maybeRun
 		}
 		if end == maybeRun {
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -214,7 +214,13 @@
 		}
 		t.Cleanup(link.Close)
 		set.Name, set.Zone, set.Store = fmt.Sprintf("gate-%d", i), []string{"east", "west"}[i%2], link.Addr()
-		set.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 4, byte(1 + i)}), peer)
+		// An address of its own keeps outgoing connections of others from taking a gate's ports while
+		// it is down, as seeds 14, 18 and 29 showed.
+		host := netip.AddrFrom4([4]byte{127, 0, 4, byte(1 + i)})
+		for _, addr := range []*netip.AddrPort{&set.Listen, &set.Ready, &set.Share, &set.Debug} {
+			*addr = netip.AddrPortFrom(host, addr.Port())
+		}
+		set.Peer = netip.AddrPortFrom(host, peer)
 		y.sets, y.links = append(y.sets, set), append(y.links, link)
 		y.gates = append(y.gates, launch("gate", set.Name, set))
 	}
