--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -28,11 +28,10 @@
 type Job struct {
 	Prompt int
 	Output int
-	Zone   string        // Of the entry.
-	Target time.Duration // Latency that the caller aims at.
-	Bytes  int           // Of the KV cache of one token.
-	Link   float64       // Mbit/s between engines.
-	Urgent bool          // No other requests go before it: engines make room for it.
+	Zone   string  // Of the entry.
+	Bytes  int     // Of the KV cache of one token.
+	Link   float64 // Mbit/s between engines.
+	Urgent bool    // No other requests go before it: engines make room for it.
 }
 
 // Choice tells where a request goes.
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -24,7 +24,7 @@
 }
 
 func job(prompt int) *place.Job {
-	return &place.Job{Prompt: prompt, Output: 40, Zone: "z", Target: 800 * time.Millisecond, Bytes: 163840, Link: 1.3e6}
+	return &place.Job{Prompt: prompt, Output: 40, Zone: "z", Bytes: 163840, Link: 1.3e6}
 }
 
 func TestChoose(t *testing.T) {
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -108,7 +108,7 @@
 
 func (x *exchange) job(service *route.Service) *place.Job {
 	return &place.Job{
-		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set().Zone, Target: x.route.Target,
+		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set().Zone,
 		Bytes: service.Engine.Bytes, Link: service.Engine.Link,
 		Urgent: x.table.Urgent(x.route, x.service),
 	}
--- /dev/null
+++ b/io/gate/voice.go
@@ -0,0 +1,164 @@
+package gate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"pimentoseam/core/beat"
+	"pimentoseam/core/cached"
+)
+
+const (
+	// partsKept bounds what one beat tells of processed prompts.
+	partsKept = 200
+	// zonePartsKept bounds the same of a zone's sum.
+	zonePartsKept = 600
+	// mostLoads bounds the upstreams of a sum, at 24 bytes each, so that it fits a datagram.
+	mostLoads = 2000
+)
+
+// voice is what a gate tells other entries and hears from them.
+type voice struct {
+	*Gate
+}
+
+// Beat returns this entry's present state for the others of its zone.
+func (g voice) Beat() *beat.Beat {
+	b := g.state()
+	b.Loads = loads(g.own())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.Parts, g.parts = g.parts, nil
+	return b
+}
+
+// Sum returns the present state of this entry's zone for the other zones.
+func (g voice) Sum() *beat.Beat {
+	b := g.state()
+	sum := g.own()
+	away := make(map[uint32]bool)
+	for _, key := range b.Away {
+		away[key] = true
+	}
+	for _, p := range g.gossip.Peers() {
+		b.Entries++
+		if !p.Alive() {
+			continue
+		}
+		add(sum, p.Beat.Loads)
+		b.Rate += p.Beat.Rate
+		b.Sees = b.Sees || p.Beat.Sees
+		for _, key := range p.Beat.Away {
+			away[key] = true
+		}
+	}
+	b.Loads, b.Away = loads(sum), b.Away[:0]
+	if len(b.Loads) > mostLoads {
+		// The least busy upstreams are the least harm if they are taken for idle.
+		slices.SortFunc(b.Loads, func(x, y beat.Load) int { return cmp.Compare(y.Running, x.Running) })
+		g.log.Warn("sum cut", "upstreams", len(b.Loads), "told", mostLoads)
+		b.Loads = b.Loads[:mostLoads]
+	}
+	for key := range away {
+		b.Away = append(b.Away, key)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.Parts, g.zoneParts = g.zoneParts, nil
+	return b
+}
+
+// state returns what beats and sums have in common.
+func (g *Gate) state() *beat.Beat {
+	set := g.set()
+	b := &beat.Beat{
+		Name: set.Name, Zone: set.Zone, Entries: 1, Start: g.began.UnixNano(), Seq: g.beats.Add(1), Sees: g.sees(),
+		Config: g.version(), Share: set.Share.String(), Rate: g.demand.rate(g.prompted.Load()), Away: g.lead.changing(),
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.Members = g.listed.Revision
+	return b
+}
+
+// own returns what this entry has in progress by upstream key.
+func (g *Gate) own() map[uint32]beat.Load {
+	sum := make(map[uint32]beat.Load)
+	for key, u := range g.fleet.Load().byKey {
+		if l, busy := u.load(); busy {
+			sum[key] = l
+		}
+	}
+	return sum
+}
+
+// add adds loads to a sum by upstream key.
+func add(sum map[uint32]beat.Load, list []beat.Load) {
+	for _, l := range list {
+		s := sum[l.Key]
+		s.Key = l.Key
+		s.Running += l.Running
+		s.Making += l.Making
+		s.Blocks += l.Blocks
+		for i := range s.Waiting {
+			s.Waiting[i] += l.Waiting[i]
+		}
+		sum[l.Key] = s
+	}
+}
+
+func loads(sum map[uint32]beat.Load) []beat.Load {
+	list := make([]beat.Load, 0, len(sum))
+	for _, l := range sum {
+		list = append(list, l)
+	}
+	return list
+}
+
+// noteParts records that an upstream has processed chains, or will after a delay, here and for the others.
+func (g *Gate) noteParts(u *upstream, id string, chains []cached.Chain, delay time.Duration) {
+	news := g.cached.Note(id, chains, delay)
+	parts := make([]beat.Part, len(news))
+	for i, c := range news {
+		parts[i] = beat.Part{Key: u.key, Chain: uint64(c), Delay: uint32(delay.Milliseconds())}
+	}
+	relay := g.gossip.Relay()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.parts = append(g.parts, parts[:min(len(parts), max(0, partsKept-len(g.parts)))]...)
+	if relay {
+		g.tellZones(parts)
+	}
+}
+
+// tellZones has the next sum of the zone tell of parts; the lock must be held.
+func (g *Gate) tellZones(parts []beat.Part) {
+	g.zoneParts = append(g.zoneParts, parts[:min(len(parts), max(0, zonePartsKept-len(g.zoneParts)))]...)
+}
+
+// Hear takes over what another entry or zone tells.
+func (g voice) Hear(b *beat.Beat) {
+	f := g.fleet.Load()
+	for _, p := range b.Parts {
+		if u := f.byKey[p.Key]; u != nil {
+			g.cached.Note(u.info.Load().ID, []cached.Chain{cached.Chain(p.Chain)}, time.Duration(p.Delay)*time.Millisecond)
+		}
+	}
+	relay := !b.Sum && g.gossip.Relay()
+	g.mu.Lock()
+	if relay {
+		g.tellZones(b.Parts)
+	}
+	g.rumour.config = max(g.rumour.config, b.Config)
+	g.rumour.members = max(g.rumour.members, b.Members)
+	behind := g.lagging()
+	g.mu.Unlock()
+	if !behind {
+		return
+	}
+	select {
+	case g.behind <- b:
+	default:
+	}
+}
