gate: replicas of the soak leave for good, and are taken under its lock

The list is now used under the lock, and the oldest replica leaves, so that faults hit those that are there.

--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -80,15 +80,21 @@
 	agents  []*program
 	engines []*simop.Replica
 	version atomic.Int64
+	added   atomic.Int64
 
 	mu     sync.Mutex
-	apps   []*simop.Replica
-	wires  []*simnet.Relay // Before each of them.
-	all    []*simop.Replica
+	apps   []*wired
+	all    []*simop.Replica // Those that left included.
 	calls  []soakCall
 	served map[string]int64 // Newest configuration seen by boot of a gate.
 }
 
+// wired is a plain replica with the relay before it.
+type wired struct {
+	*simop.Replica
+	wire *simnet.Relay
+}
+
 // soakCall is one request as its caller saw it.
 type soakCall struct {
 	id     string
@@ -186,8 +192,8 @@
 		})
 		return p
 	}
-	for i := range soakApps {
-		y.addApp(i)
+	for range soakApps {
+		y.addApp(int(y.added.Add(1)))
 	}
 	for i := range soakEngines {
 		stage := []string{"prefill", "decode"}[i%2]
@@ -248,10 +254,26 @@
 	y.t.Cleanup(wire.Close)
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	y.apps, y.wires, y.all = append(y.apps, r), append(y.wires, wire), append(y.all, r)
+	y.apps, y.all = append(y.apps, &wired{Replica: r, wire: wire}), append(y.all, r)
 	y.store.Put("servers/"+r.ID, r.EntryAt("ready", wire.Addr()))
 }
 
+// app returns one of the plain replicas that have not left.
+func (y *yard) app(random *rand.Rand) *wired {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.apps[random.IntN(len(y.apps))]
+}
+
+// withdraw takes the oldest plain replica out of those that faults hit, and returns it.
+func (y *yard) withdraw() *wired {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	r := y.apps[0]
+	y.apps = y.apps[1:]
+	return r
+}
+
 // trouble causes one fault and ends it.
 func (y *yard) trouble(random *rand.Rand, series int) {
 	pause := func(least, most int) { time.Sleep(time.Duration(least+random.IntN(most-least)) * time.Millisecond) }
@@ -280,12 +302,12 @@
 		pause(200, 4000)
 		link.Mend()
 	case 5:
-		wire := y.wires[random.IntN(soakApps)]
+		wire := y.app(random).wire
 		[]func(){wire.Mute, wire.Cut, wire.Reset, wire.Deafen, func() { wire.Slow(100 * time.Millisecond) }}[random.IntN(5)]()
 		pause(200, 2500)
 		wire.Mend()
 	case 6:
-		r := y.apps[random.IntN(soakApps)]
+		r := y.app(random).Replica
 		if random.IntN(2) == 0 {
 			r = y.engines[random.IntN(soakEngines)]
 		}
@@ -293,13 +315,10 @@
 		pause(200, 2500)
 		r.Handle(nil)
 	case 7:
-		y.mu.Lock()
-		n := len(y.apps)
-		r, wire := y.apps[n-1], y.wires[n-1]
-		y.mu.Unlock()
-		y.addApp(1000*(series+1) + n)
+		y.addApp(int(y.added.Add(1)))
+		r := y.withdraw()
 		if random.IntN(2) == 0 {
-			y.store.Put("servers/"+r.ID, r.EntryAt("draining", wire.Addr()))
+			y.store.Put("servers/"+r.ID, r.EntryAt("draining", r.wire.Addr()))
 			pause(2000, 3000)
 		}
 		y.store.Remove("servers/" + r.ID)
