gate: give each test's gate a loopback host of its own

A fault of the tests' set-up, not of the gate. All addresses of a test's gate are now on a loopback host that no connection goes out from.

--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -139,12 +140,14 @@
 	return len(p), nil
 }
 
-// free returns loopback addresses that nobody listens at.
+// free returns addresses of one loopback host that nobody listens at. The host is none that connections go out
+// from, so that none takes a port before it is listened at.
 func free(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
+	host := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(rand.N(250)), byte(1 + rand.N(250))})
 	var list []netip.AddrPort
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
