all: one piece of code for what stood twice, and less that nothing used

No change of behaviour. - proc.Uptime serves io/gate and io/follow, which both had their own. - proc.Unbound is the error of a process that can't listen; io/server, io/gate and io/tend each had a copy.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -15,15 +15,10 @@
 	Tokens  int           // KV cache that these hold.
 	Slots   int           // Requests that it runs at once.
 	Memory  int           // Tokens that fit into its KV cache.
-	Slow    float64       // How much slower than stated it has been, 1 if not.
 	Held    int           // Leading tokens of the prompt that it keeps.
 	Soon    int           // Those that it will keep once it has done its waiting work, if more.
 }
 
-func (e *Engine) slow() float64 {
-	return max(1, e.Slow)
-}
-
 // Job is a request for a model.
 type Job struct {
 	Prompt int
@@ -69,27 +64,13 @@
 	fullCost = 300 * time.Millisecond
 	// crowdedCost is added where requests wait for a place.
 	crowdedCost = time.Second
-	// slowSteps is the number of steps for which a slow engine's lag counts.
-	slowSteps = 4
 	// spread keeps entries that know the same from all choosing the same engine.
 	spread = 3 * time.Millisecond
 )
 
-// Option changes a Placer.
-type Option func(*Placer)
-
-// WithSpeed sets the figures of the engines.
-func WithSpeed(s Speed) Option {
-	return func(p *Placer) { p.speed = s }
-}
-
 // New returns a Placer.
-func New(opts ...Option) *Placer {
-	p := &Placer{speed: defaultSpeed}
-	for _, opt := range opts {
-		opt(p)
-	}
-	return p
+func New() *Placer {
+	return &Placer{speed: defaultSpeed}
 }
 
 // Work returns the time that a prompt engine spends on a prompt of which it lacks some tokens.
@@ -173,7 +154,7 @@
 // load returns the delay that an engine's running requests count for.
 func (p *Placer) load(e *Engine) time.Duration {
 	share := e.share()
-	return time.Duration(share*share*float64(fullCost)) + time.Duration(float64(p.speed.Step)*(e.slow()-1)*slowSteps)
+	return time.Duration(share * share * float64(fullCost))
 }
 
 // apart returns what a send between two availability zones counts for.
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -42,7 +42,7 @@
 	if !e.Prefill {
 		step += time.Duration(e.Making) * s.Slot
 	}
-	return time.Duration((work + float64(steps)*float64(step)) * e.slow())
+	return time.Duration(work + float64(steps)*float64(step))
 }
 
 // Move returns how long the KV cache of some tokens takes between two engines.
--- a/core/setup/change.go
+++ b/core/setup/change.go
@@ -6,52 +6,47 @@
 	Later []string // Kept as they were until the next start: names and addresses that are in use.
 }
 
-func (c *Change) now(name string, differs bool) {
+// note adds a setting's name to a list if it differs.
+func note(list *[]string, name string, differs bool) {
 	if differs {
-		c.Now = append(c.Now, name)
-	}
-}
-
-func (c *Change) later(name string, differs bool) {
-	if differs {
-		c.Later = append(c.Later, name)
+		*list = append(*list, name)
 	}
 }
 
 // Replace prepares g to take the place of old in a running process: what can't change there stays as it was.
 func (g *Gate) Replace(old *Gate) *Change {
 	c := &Change{}
-	c.later("name", g.Name != old.Name)
-	c.later("zone", g.Zone != old.Zone)
-	c.later("listen", g.Listen != old.Listen)
-	c.later("ready", g.Ready != old.Ready)
-	c.later("share", g.Share != old.Share)
-	c.later("peer", g.Peer != old.Peer)
-	c.later("debug", g.Debug != old.Debug)
-	c.later("first", g.First != old.First)
-	c.later("window", g.Window != old.Window)
+	note(&c.Later, "name", g.Name != old.Name)
+	note(&c.Later, "zone", g.Zone != old.Zone)
+	note(&c.Later, "listen", g.Listen != old.Listen)
+	note(&c.Later, "ready", g.Ready != old.Ready)
+	note(&c.Later, "share", g.Share != old.Share)
+	note(&c.Later, "peer", g.Peer != old.Peer)
+	note(&c.Later, "debug", g.Debug != old.Debug)
+	note(&c.Later, "first", g.First != old.First)
+	note(&c.Later, "window", g.Window != old.Window)
 	g.Name, g.Zone, g.First, g.Window = old.Name, old.Zone, old.First, old.Window
 	g.Listen, g.Ready, g.Share, g.Peer, g.Debug = old.Listen, old.Ready, old.Share, old.Peer, old.Debug
-	c.now("store", g.Store != old.Store)
-	c.now("seeds", g.Seeds != old.Seeds)
-	c.now("grace", g.Grace != old.Grace)
-	c.now("drain", g.Drain != old.Drain)
-	c.now("apply", g.Apply != old.Apply)
-	c.now("lease", g.Lease != old.Lease)
-	c.now("ratio", g.Ratio != old.Ratio)
-	c.now("slack", g.Slack != old.Slack)
+	note(&c.Now, "store", g.Store != old.Store)
+	note(&c.Now, "seeds", g.Seeds != old.Seeds)
+	note(&c.Now, "grace", g.Grace != old.Grace)
+	note(&c.Now, "drain", g.Drain != old.Drain)
+	note(&c.Now, "apply", g.Apply != old.Apply)
+	note(&c.Now, "lease", g.Lease != old.Lease)
+	note(&c.Now, "ratio", g.Ratio != old.Ratio)
+	note(&c.Now, "slack", g.Slack != old.Slack)
 	return c
 }
 
 // Replace prepares t to take the place of old in a running process: what can't change there stays as it was.
 func (t *Tend) Replace(old *Tend) *Change {
 	c := &Change{}
-	c.later("name", t.Name != old.Name)
-	c.later("engine", t.Engine != old.Engine)
-	c.later("service", t.Service != old.Service)
-	c.later("peer", t.Peer != old.Peer)
-	c.later("debug", t.Debug != old.Debug)
+	note(&c.Later, "name", t.Name != old.Name)
+	note(&c.Later, "engine", t.Engine != old.Engine)
+	note(&c.Later, "service", t.Service != old.Service)
+	note(&c.Later, "peer", t.Peer != old.Peer)
+	note(&c.Later, "debug", t.Debug != old.Debug)
 	t.Name, t.Engine, t.Service, t.Peer, t.Debug = old.Name, old.Engine, old.Service, old.Peer, old.Debug
-	c.now("store", t.Store != old.Store)
+	note(&c.Now, "store", t.Store != old.Store)
 	return c
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -79,7 +79,7 @@
 	return a
 }
 
-// Run serves until ctx ends, then finishes the requests in progress; its error is a *server.Error.
+// Run serves until ctx ends, then finishes the requests in progress; its error is a *proc.Unbound.
 func (a *Agent) Run(ctx context.Context) error {
 	if err := a.server.Start(); err != nil {
 		return err
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -75,7 +75,7 @@
 	return e
 }
 
-// Run serves until ctx ends, then finishes the requests in progress; its error is a *server.Error.
+// Run serves until ctx ends, then finishes the requests in progress; its error is a *proc.Unbound.
 func (e *Entry) Run(ctx context.Context) error {
 	if err := e.public.Start(); err != nil {
 		return err
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -100,7 +100,7 @@
 		}
 		retry = retryMin
 		f.regained()
-		f.heard.Store(uptime())
+		f.heard.Store(proc.Uptime())
 		f.apply(Update{Whole: true, Items: all.Items, Revision: all.Current})
 		proc.Sleep(ctx, settleTime)
 		f.watch(ctx, all.Current)
@@ -118,7 +118,7 @@
 			f.failed(ctx, err)
 			return
 		}
-		f.heard.Store(uptime())
+		f.heard.Store(proc.Uptime())
 		after = next
 		if len(items) > 0 {
 			f.apply(Update{Items: items, Revision: next})
@@ -142,7 +142,7 @@
 // Sees reports whether the store answered within a span and no call has failed since.
 func (f *Follower) Sees(within time.Duration) bool {
 	at := f.heard.Load()
-	return at > 0 && time.Duration(uptime()-at) < within
+	return at > 0 && time.Duration(proc.Uptime()-at) < within
 }
 
 // Away reports whether the store does not answer and nobody else is relied on.
@@ -150,13 +150,6 @@
 	return f.away.Load()
 }
 
-// begun is when this process began; the time of day may jump, what is measured from here does not.
-var begun = time.Now()
-
-func uptime() int64 {
-	return int64(time.Since(begun))
-}
-
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
--- a/io/gate/demand.go
+++ b/io/gate/demand.go
@@ -35,10 +35,8 @@
 // demanded returns the prompt work that the callers of all entries ask for, in engines.
 func (g *Gate) demanded() float64 {
 	sum := g.demand.rate(g.prompted.Load())
-	for _, p := range append(g.gossip.Peers(), g.gossip.Zones()...) {
-		if p.Alive() {
-			sum += p.Beat.Rate
-		}
+	for _, p := range g.gossip.Living() {
+		sum += p.Beat.Rate
 	}
 	return float64(sum) / 1000 // Milliseconds a second.
 }
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -12,6 +12,7 @@
 	"pimentoseam/core/call"
 	"pimentoseam/core/route"
 	"pimentoseam/io/outlet"
+	"pimentoseam/io/proc"
 	"pimentoseam/platform"
 )
 
@@ -216,7 +217,7 @@
 		return nil, x.unanswered(ctx, u, err)
 	}
 	x.arrivals++
-	u.heard.Store(uptime())
+	u.heard.Store(proc.Uptime())
 	reply := platform.ReadReply(answer.StatusCode, answer.Header)
 	if reply.NotRun {
 		x.rejects++
--- a/io/gate/framing_test.go
+++ b/io/gate/framing_test.go
@@ -1,7 +1,6 @@
 package gate_test
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,10 +12,6 @@
 	"time"
 )
 
-func errorsAs(err error, target any) bool {
-	return errors.As(err, target)
-}
-
 // TestFraming sends requests whose bounds two readers could see differently, and others at the edge of the
 // protocol. No upstream may ever see a request that was hidden in another one.
 func TestFraming(t *testing.T) {
@@ -110,14 +105,7 @@
 	app := newReplica(t, "i-1", "app", "")
 	s := start(t, store, "", app)
 	s.ready(t)
-	kept, err := net.Dial("tcp", s.set.Listen.String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer kept.Close()
-	if _, err := io.WriteString(kept, "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: k1\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
+	kept := s.dial(t, "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: k1\r\n\r\n")
 	request := "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: l1\r\nX-Long: " + strings.Repeat("x", 10000) + "\r\n\r\n"
 	if statuses, _ := s.raw(t, request, 300*time.Millisecond); !slices.Equal(statuses, []int{200}) {
 		t.Fatalf("within the limits: got %v", statuses)
@@ -137,10 +125,7 @@
 			t.Errorf("%s: still open after a second", name)
 		}
 	}
-	if err := kept.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := io.Copy(io.Discard, kept); err != nil {
+	if _, err := rest(t, kept, time.Second); err != nil {
 		t.Errorf("an idle connection of before: %v", err)
 	}
 }
@@ -154,25 +139,15 @@
 	d.Stream(1000, 20*time.Millisecond, 0)
 	s := start(t, store, "", d)
 	s.ready(t)
-	conn, err := net.Dial("tcp", s.set.Listen.String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if _, err := io.WriteString(conn, "POST /model/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: h1\r\nX-Token-Counts: 100,40\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
+	conn := s.dial(t, "POST /model/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: h1\r\nX-Token-Counts: 100,40\r\n\r\n")
 	eventually(t, 2*time.Second, "running", func() bool { return d.Runs("h1") == 1 })
 	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, 500*time.Millisecond, "dropped", func() bool { return d.Dropped() == 1 })
-	if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
-		t.Fatal(err)
-	}
-	rest, err := io.ReadAll(conn)
-	if err != nil || strings.HasSuffix(string(rest), "0\r\n\r\n") {
-		t.Errorf("got an end of %q and %v, want a stream that is cut short", rest[max(0, len(rest)-20):], err)
+	end, err := rest(t, conn, time.Second)
+	if err != nil || strings.HasSuffix(end, "0\r\n\r\n") {
+		t.Errorf("got an end of %q and %v, want a stream that is cut short", end[max(0, len(end)-20):], err)
 	}
 }
 
@@ -195,13 +170,7 @@
 		"POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: g2\r\nContent-Length: 10\r\n\r\nbody",
 		"",
 	} {
-		conn, err := net.Dial("tcp", s.set.Listen.String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := io.WriteString(conn, sent); err != nil {
-			t.Fatal(err)
-		}
+		conn := s.dial(t, sent)
 		time.Sleep(200 * time.Millisecond)
 		if err := conn.Close(); err != nil {
 			t.Fatal(err)
@@ -262,30 +231,19 @@
 	s.ready(t)
 	conns := make([]net.Conn, 2)
 	for i, path := range []string{"/plain/x", "/plain/slow"} {
-		conn, err := net.Dial("tcp", s.set.Listen.String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: k%d\r\n\r\n", path, i); err != nil {
-			t.Fatal(err)
-		}
-		conns[i] = conn
+		conns[i] = s.dial(t, fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: k%d\r\n\r\n", path, i))
 	}
 	time.Sleep(200 * time.Millisecond)
 	s.stop()
 	for i, conn := range conns {
-		if err := conn.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
-			t.Fatal(err)
-		}
-		all, err := io.ReadAll(conn)
+		all, err := rest(t, conn, 2*time.Second)
 		if err != nil {
 			t.Errorf("connection %d: %v, want it closed", i, err)
 		}
-		if !strings.HasPrefix(string(all), "HTTP/1.1 200") || !strings.HasSuffix(string(all), "by i-1") {
+		if !strings.HasPrefix(all, "HTTP/1.1 200") || !strings.HasSuffix(all, "by i-1") {
 			t.Errorf("connection %d: got %q, want one whole answer", i, all)
 		}
-		if i == 1 && !strings.Contains(string(all), "Connection: close") {
+		if i == 1 && !strings.Contains(all, "Connection: close") {
 			t.Errorf("the answer does not say that the connection ends: %q", all)
 		}
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -81,22 +81,6 @@
 	budgets   map[string]*budget.Budget
 }
 
-// Error reports a gate that could not start.
-type Error struct {
-	Addr  string
-	Cause error
-}
-
-// Error names the address and the cause.
-func (e *Error) Error() string {
-	return "listen on " + e.Addr + ": " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Cause
-}
-
 // Option changes a Gate.
 type Option func(*options)
 
@@ -146,20 +130,20 @@
 	return g.current.Load()
 }
 
-// Run serves until ctx ends, then finishes the requests in progress; its error is an *Error.
+// Run serves until ctx ends, then finishes the requests in progress; its error is a *proc.Unbound.
 func (g *Gate) Run(ctx context.Context) error {
 	defer g.lines.Close()
 	ready, err := net.Listen("tcp", g.set().Ready.String())
 	if err != nil {
-		return &Error{Addr: g.set().Ready.String(), Cause: err}
+		return &proc.Unbound{Addr: g.set().Ready, Cause: err}
 	}
 	front, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(g.set().Listen))
 	if err != nil {
-		return &Error{Addr: g.set().Listen.String(), Cause: err}
+		return &proc.Unbound{Addr: g.set().Listen, Cause: err}
 	}
 	share, err := net.Listen("tcp", g.set().Share.String())
 	if err != nil {
-		return &Error{Addr: g.set().Share.String(), Cause: err}
+		return &proc.Unbound{Addr: g.set().Share, Cause: err}
 	}
 	g.log.Info("started", "listen", g.set().Listen, "zone", g.set().Zone, "first", g.set().First)
 	work, cancel := context.WithCancel(context.Background())
@@ -176,7 +160,7 @@
 	g.gauges()
 	debug, err := net.Listen("tcp", g.set().Debug.String())
 	if err != nil {
-		return &Error{Addr: g.set().Debug.String(), Cause: err}
+		return &proc.Unbound{Addr: g.set().Debug, Cause: err}
 	}
 	go g.listen(&http.Server{Handler: g.meter.Handler(), ReadHeaderTimeout: time.Second}, debug)
 	shares := &http.Server{Handler: g.shareHandler(), ReadHeaderTimeout: time.Second}
@@ -221,7 +205,7 @@
 func (g *Gate) gauges() {
 	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
 	g.meter.Gauge("upstreams", func() float64 { return float64(len(g.fleet.Load().byKey)) })
-	g.meter.Gauge("entries", func() float64 { return float64(g.entries()) })
+	g.meter.Gauge("entries", func() float64 { return float64(g.gossip.Entries()) })
 	g.meter.Gauge("lead", func() float64 {
 		if g.lead.holds() {
 			return 1
@@ -275,6 +259,6 @@
 		b = budget.New(g.set().Ratio, g.set().Slack, g.set().Window.D())
 		g.budgets[service] = b
 	}
-	b.Share(g.entries())
+	b.Share(g.gossip.Entries())
 	return b
 }
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -259,13 +258,7 @@
 	d.Stream(1000, 20*time.Millisecond, 0)
 	s := start(t, store, "", d)
 	s.ready(t)
-	conn, err := net.Dial("tcp", s.set.Listen.String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := io.WriteString(conn, "POST /model/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: l1\r\nX-Token-Counts: 100,40\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
+	conn := s.dial(t, "POST /model/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: l1\r\nX-Token-Counts: 100,40\r\n\r\n")
 	eventually(t, 2*time.Second, "running", func() bool { return d.Runs("l1") == 1 })
 	time.Sleep(100 * time.Millisecond)
 	if err := conn.Close(); err != nil {
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -219,17 +220,35 @@
 	return answer, string(body)
 }
 
-// raw writes bytes to the gate on a new connection and returns the answers until it closes or falls silent.
-func (s *site) raw(t *testing.T, sent string, silence time.Duration) (statuses []int, closed bool) {
+// dial opens a connection to the gate, writes bytes on it and returns it.
+func (s *site) dial(t *testing.T, sent string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.set.Listen.String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	t.Cleanup(func() { _ = conn.Close() }) // Most tests have closed it.
 	if _, err := io.WriteString(conn, sent); err != nil {
 		t.Fatal(err)
 	}
+	return conn
+}
+
+// rest returns what still comes on a connection until it ends, within a time.
+func rest(t *testing.T, conn net.Conn, within time.Duration) (string, error) {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		t.Fatal(err)
+	}
+	all, err := io.ReadAll(conn)
+	return string(all), err
+}
+
+// raw writes bytes to the gate on a new connection and returns the answers until it closes or falls silent.
+func (s *site) raw(t *testing.T, sent string, silence time.Duration) (statuses []int, closed bool) {
+	t.Helper()
+	conn := s.dial(t, sent)
+	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	method, _, _ := strings.Cut(sent, " ")
 	for {
@@ -239,7 +258,7 @@
 		answer, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			var timeout net.Error
-			isTimeout := errorsAs(err, &timeout) && timeout.Timeout()
+			isTimeout := errors.As(err, &timeout) && timeout.Timeout()
 			return statuses, !isTimeout
 		}
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
--- a/io/gate/lead.go
+++ b/io/gate/lead.go
@@ -72,7 +72,7 @@
 			l.campaign(ctx)
 		}
 		if l.lease == 0 {
-			proc.Sleep(ctx, proc.Jitter(standbyEvery*time.Duration(l.gate.entries())))
+			proc.Sleep(ctx, proc.Jitter(standbyEvery*time.Duration(l.gate.gossip.Entries())))
 			continue
 		}
 		l.serve(ctx)
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -108,10 +108,7 @@
 		away[key] = true
 	}
 	old := time.Duration(0)
-	for _, p := range append(g.gossip.Peers(), g.gossip.Zones()...) {
-		if !p.Alive() {
-			continue
-		}
+	for _, p := range g.gossip.Living() {
 		old = max(old, p.Age())
 		for _, key := range p.Beat.Away {
 			away[key] = true
@@ -122,12 +119,3 @@
 	g.others.Store(o)
 	return o
 }
-
-// entries returns how many entries share the budgets, those lost a short while ago included.
-func (g *Gate) entries() int {
-	n := 1 + len(g.gossip.Peers())
-	for _, z := range g.gossip.Zones() {
-		n += int(z.Beat.Entries)
-	}
-	return n
-}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -11,6 +11,7 @@
 
 	"pimentoseam/core/route"
 	"pimentoseam/io/outlet"
+	"pimentoseam/io/proc"
 	"pimentoseam/platform"
 )
 
@@ -123,7 +124,7 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := answer.Read(buffer)
-		u.heard.Store(uptime())
+		u.heard.Store(proc.Uptime())
 		pending = append(pending, buffer[:n]...)
 		whole := eventsEnd(pending)
 		if errors.Is(err, io.EOF) {
--- a/io/gate/share.go
+++ b/io/gate/share.go
@@ -50,10 +50,10 @@
 }
 
 func (g *Gate) fetchMembers(ctx context.Context, b *beat.Beat) {
-	after := g.membersAt()
+	after := int64(0) // The whole list, unless one is known already.
 	g.mu.Lock()
-	if !g.known {
-		after = 0
+	if g.known {
+		after = g.listed.Revision
 	}
 	g.mu.Unlock()
 	var l listed
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -26,14 +26,6 @@
 	tokens  atomic.Int64                  // KV cache that those hold.
 }
 
-// started is when this process began; the time of day may jump, what is measured from here does not.
-var started = time.Now()
-
-// uptime returns the nanoseconds since this process began.
-func uptime() int64 {
-	return int64(time.Since(started))
-}
-
 func newUpstream(key uint32) *upstream {
 	return &upstream{key: key, breaker: health.New()}
 }
@@ -82,7 +74,7 @@
 const restTime = 150 * time.Millisecond
 
 func (u *upstream) rest() {
-	u.rested.Store(uptime() + int64(restTime))
+	u.rested.Store(proc.Uptime() + int64(restTime))
 }
 
 // stallTime is the silence after which an engine with a prompt to process is taken to stand still,
@@ -92,20 +84,20 @@
 // watchStall calls stalled once the upstream has been silent for stallTime and the work of a prompt
 // that is sent to it now, unless ctx ends before.
 func (u *upstream) watchStall(ctx context.Context, work time.Duration, stalled func()) {
-	limit, sent := stallTime+work, uptime()
+	limit, sent := stallTime+work, proc.Uptime()
 	rest := limit
 	for rest > 0 {
 		proc.Sleep(ctx, rest)
 		if ctx.Err() != nil {
 			return
 		}
-		rest = limit - time.Duration(uptime()-max(sent, u.heard.Load()))
+		rest = limit - time.Duration(proc.Uptime()-max(sent, u.heard.Load()))
 	}
 	stalled()
 }
 
 func (u *upstream) resting() bool {
-	return uptime() < u.rested.Load()
+	return proc.Uptime() < u.rested.Load()
 }
 
 // pickPlain chooses the upstream of a plain service that has the fewest requests in progress, in the
--- a/io/gate/watch.go
+++ b/io/gate/watch.go
@@ -21,7 +21,7 @@
 
 // retryMost returns the longest time between this entry's calls to a store that fails.
 func (g *Gate) retryMost() time.Duration {
-	return min(retryLongest, max(retryLeast, retryEach*time.Duration(g.entries())))
+	return min(retryLongest, max(retryLeast, retryEach*time.Duration(g.gossip.Entries())))
 }
 
 const (
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -206,6 +207,24 @@
 	return list
 }
 
+// Living returns the other entries of the zone and the other zones that were heard lately.
+func (g *Gossip) Living() []Peer {
+	return slices.DeleteFunc(append(g.Peers(), g.Zones()...), func(p Peer) bool { return !p.Alive() })
+}
+
+// Entries returns how many entries there are in all zones, this one and those lost a short while ago included.
+func (g *Gossip) Entries() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 1 + len(g.peers)
+	for _, f := range g.zones {
+		if p := f.newest(); p != nil {
+			n += int(p.Beat.Entries)
+		}
+	}
+	return n
+}
+
 // Relay reports whether this entry sends the sum of its zone.
 func (g *Gossip) Relay() bool {
 	return g.rank() < relays
@@ -213,8 +232,10 @@
 
 // rank returns how many living entries of the zone have names before this one's.
 func (g *Gossip) rank() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	n := 0
-	for _, p := range g.Peers() {
+	for _, p := range g.peers {
 		if p.Alive() && p.Beat.Name < g.name {
 			n++
 		}
--- a/io/outlet/outlet.go
+++ b/io/outlet/outlet.go
@@ -57,8 +57,7 @@
 
 // Broken reports a request without an answer; it may have run.
 type Broken struct {
-	Reused bool // The connection had carried a request before.
-	Cause  error
+	Cause error
 }
 
 // Error names the cause.
@@ -88,8 +87,6 @@
 	Body   []byte
 	// Mine reports whether an answer is for this request; nil accepts any.
 	Mine func(status int, h http.Header) bool
-	// Fresh asks for a new connection, on which no answer of an earlier request can arrive.
-	Fresh bool
 }
 
 // Outlet keeps connections to upstreams.
@@ -126,7 +123,6 @@
 	net.Conn
 	addr    netip.AddrPort
 	reader  *bufio.Reader
-	used    bool
 	expires time.Time // When it is no longer used, if idle.
 	written chan error
 }
@@ -134,12 +130,10 @@
 // Do sends a request and returns once the head of its answer has arrived.
 // Its error is a *NotSent, *Full or *Broken; when ctx ends the connection is closed.
 func (o *Outlet) Do(ctx context.Context, addr netip.AddrPort, r *Request, limit int) (*Answer, error) {
-	c, err := o.connect(ctx, addr, limit, r.Fresh)
+	c, err := o.connect(ctx, addr, limit)
 	if err != nil {
 		return nil, err
 	}
-	reused := c.used
-	c.used = true
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(pastInstant, 0)) })
 	if sent, err := c.send(r); err != nil {
 		stop()
@@ -147,13 +141,13 @@
 		if !sent {
 			return nil, &NotSent{Cause: cause(ctx, err)}
 		}
-		return nil, &Broken{Reused: reused, Cause: cause(ctx, err)}
+		return nil, &Broken{Cause: cause(ctx, err)}
 	}
 	answer, err := c.receive(r)
 	if err != nil {
 		stop()
 		o.reset(c)
-		return nil, &Broken{Reused: reused, Cause: cause(ctx, err)}
+		return nil, &Broken{Cause: cause(ctx, err)}
 	}
 	return &Answer{Response: answer, outlet: o, conn: c, stop: stop}, nil
 }
@@ -167,8 +161,8 @@
 }
 
 // connect returns an idle connection that is still open, or a new one.
-func (o *Outlet) connect(ctx context.Context, addr netip.AddrPort, limit int, fresh bool) (*conn, error) {
-	for !fresh {
+func (o *Outlet) connect(ctx context.Context, addr netip.AddrPort, limit int) (*conn, error) {
+	for {
 		c := o.kept(addr)
 		if c == nil {
 			break
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"strconv"
@@ -23,6 +24,22 @@
 	return slog.New(slog.NewTextHandler(os.Stderr, nil)).With("process", process)
 }
 
+// Unbound reports an address that can't be listened at.
+type Unbound struct {
+	Addr  netip.AddrPort
+	Cause error
+}
+
+// Error names the address and the cause.
+func (e *Unbound) Error() string {
+	return "listen on " + e.Addr.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Unbound) Unwrap() error {
+	return e.Cause
+}
+
 // Signals returns a context that ends on SIGTERM or SIGINT.
 func Signals() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -78,6 +95,14 @@
 	return info.ModTime().String() + strconv.FormatInt(info.Size(), 10)
 }
 
+// begun is when this process began; the time of day may jump, what is measured from here does not.
+var begun = time.Now()
+
+// Uptime returns the nanoseconds since this process began.
+func Uptime() int64 {
+	return int64(time.Since(begun))
+}
+
 // Jitter returns between half and all of d, so that processes do not act in step.
 func Jitter(d time.Duration) time.Duration {
 	if d < 2 {
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -12,6 +12,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"pimentoseam/io/proc"
 )
 
 const (
@@ -23,22 +25,6 @@
 	hardWriteLimit   = 64 << 20  // bytes that may wait on any connection
 )
 
-// Error reports a server that could not start.
-type Error struct {
-	Addr  netip.AddrPort
-	Cause error
-}
-
-// Error names the address and the cause.
-func (e *Error) Error() string {
-	return "listen on " + e.Addr.String() + ": " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Cause
-}
-
 // Server is an HTTP server that reports closed connections and slow readers to its handlers.
 type Server struct {
 	addr      netip.AddrPort
@@ -107,10 +93,10 @@
 	return s.engine
 }
 
-// Start begins to listen; its error is a *Error.
+// Start begins to listen; its error is a *proc.Unbound.
 func (s *Server) Start() error {
 	if err := s.engine.Start(); err != nil {
-		return &Error{Addr: s.addr, Cause: err}
+		return &proc.Unbound{Addr: s.addr, Cause: err}
 	}
 	go s.watch()
 	return nil
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"strconv"
 	"sync"
@@ -99,7 +98,7 @@
 	return change, nil
 }
 
-// Run follows the plan until ctx ends.
+// Run follows the plan until ctx ends; its error is a *proc.Unbound.
 func (t *Tend) Run(ctx context.Context) error {
 	defer t.lines.Close()
 	t.log.Info("started", "engine", t.set.Engine, "service", t.set.Service)
@@ -108,7 +107,7 @@
 	if t.set.Peer.IsValid() {
 		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(t.set.Peer))
 		if err != nil {
-			return &Error{Addr: t.set.Peer, Cause: err}
+			return &proc.Unbound{Addr: t.set.Peer, Cause: err}
 		}
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		defer stop()
@@ -140,22 +139,6 @@
 	}
 }
 
-// Error reports an address that can't be listened at.
-type Error struct {
-	Addr  netip.AddrPort
-	Cause error
-}
-
-// Error names the address and the cause.
-func (e *Error) Error() string {
-	return "listen on " + e.Addr.String() + ": " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Cause
-}
-
 // listen takes the notices of the lead until ctx ends.
 func (t *Tend) listen(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, mostNotice)
