server: keep streams free of deadlines that the library sets late

The library's acceptor hands a connection to the poller and only then sets its first read deadline. If it is interrupted between the two, a handler has already removed the deadline and the later one cuts the stream after the keep-alive time, 30 s outside tests.

--- a/io/server/server.go
+++ b/io/server/server.go
@@ -169,7 +169,8 @@
 	}
 }
 
-// sweep cancels the streams of closed connections and reports whether any streams are left.
+// sweep cancels the streams of closed connections, keeps the others free of read deadlines and
+// reports whether any streams are left.
 func (s *Server) sweep() bool {
 	busy := false
 	for c, st := range s.snapshot() {
@@ -177,11 +178,25 @@
 			st.leave()
 			continue
 		}
-		busy = busy || st.streams()
+		if st.streams() {
+			busy = true
+			s.lift(c, st)
+		}
 	}
 	return busy
 }
 
+// lift removes the read deadline of a connection that streams. The library's acceptor sets its
+// first deadline only after the poller has got the connection, so it may come after the handler
+// removed it.
+func (s *Server) lift(c *nbio.Conn, st *state) {
+	_ = c.SetReadDeadline(time.Time{})
+	if !st.streams() {
+		// The stream ended meanwhile, so this may have undone the deadline that its end set.
+		_ = c.SetReadDeadline(time.Now().Add(s.keepalive))
+	}
+}
+
 // streams reports whether a handler streams on the connection.
 func (st *state) streams() bool {
 	st.mu.Lock()
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio/nbhttp"
+
 	"pimentoseam/io/server"
 )
 
@@ -63,6 +65,45 @@
 	}
 }
 
+// TestLateDeadline streams on a connection whose first deadline the library sets after the handler
+// has begun, as its acceptor does when it is interrupted between two of its steps.
+func TestLateDeadline(t *testing.T) {
+	const keepalive = 400 * time.Millisecond
+	addr := start(t, func(s *server.Server, w http.ResponseWriter, _ *http.Request) {
+		stream := s.Stream(w)
+		defer stream.Close()
+		response, ok := w.(*nbhttp.Response)
+		if !ok {
+			t.Errorf("got a %T, want the library's response", w)
+			return
+		}
+		if err := response.Parser.Conn.SetReadDeadline(time.Now().Add(keepalive)); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(2 * keepalive)
+		fmt.Fprint(stream, "whole")
+	}, server.WithKeepalive(keepalive))
+	c, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_ = c.SetReadDeadline(time.Now().Add(10 * keepalive))
+	reader := bufio.NewReader(c)
+	answer, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := io.ReadAll(answer.Body)
+	if err != nil || string(data) != "whole" {
+		t.Errorf("got %q, %v, want the whole answer", data, err)
+	}
+	if _, err := reader.ReadByte(); err != io.EOF && !strings.Contains(fmt.Sprint(err), "reset") {
+		t.Errorf("got %v, want the idle connection closed after its keep-alive", err)
+	}
+}
+
 // TestSlowReader checks that a reader that stops holds back its own stream only, in bounded memory.
 func TestSlowReader(t *testing.T) {
 	const total = 64 << 20
--- a/io/server/stream.go
+++ b/io/server/stream.go
@@ -63,7 +63,8 @@
 	case s.streaming <- struct{}{}:
 	default:
 	}
-	// The library leaves the read deadline of the request in force while the answer streams.
+	// The library leaves the read deadline of the request in force while the answer streams;
+	// Server.lift removes one that it sets later.
 	_ = st.conn.SetReadDeadline(time.Time{})
 	return st
 }
