shed, split: know callers that come back, keep places between bursts

Ruled out: the age of loads (104 and 105 ms), prompts on decode engines, the share of kept parts (633 and 655 tokens).

Change: a caller has come back if it states less than 0.85 of the most that callers of its route stated lately, and is told to come back late enough to be known.

The planner remembers bursts of outputs for a minute.

--- a/core/split/planner.go
+++ b/core/split/planner.go
@@ -16,9 +16,12 @@
 	fill = 0.78
 	// keepShare is the least share of engines that generate outputs.
 	keepShare = 0.25
-	// riseTime and fallTime are the windows of the average that follows the demand up and down.
+	// riseTime and fallTime are the windows of the averages that follow the demand up and down.
 	riseTime = 3 * time.Second
 	fallTime = 20 * time.Second
+	// burstTime is the window in which a burst of outputs is forgotten. Bursts are shorter than a change
+	// of role takes, and who finds no place in one is late, while prompts can wait.
+	burstTime = 60 * time.Second
 	// spare is the number of prompt engines too many that are left as they are, since too few of
 	// them cost more than too many.
 	spare = 1
@@ -32,6 +35,7 @@
 type Planner struct {
 	prompt float64 // Prompt engines that the demand keeps busy.
 	output float64 // Engines whose memory the outputs in progress fill.
+	burst  float64 // The same in bursts.
 	seen   time.Time
 	began  time.Time // First demand.
 	wished time.Time // Since when another split is called for; zero if none is.
@@ -57,14 +61,15 @@
 		p.began = now
 	}
 	if !p.began.IsZero() {
-		p.prompt = follow(p.prompt, prompt, elapsed)
-		p.output = follow(p.output, output, elapsed)
+		p.prompt = follow(p.prompt, prompt, elapsed, fallTime)
+		p.output = follow(p.output, output, elapsed, fallTime)
+		p.burst = follow(p.burst, output, elapsed, burstTime)
 	}
 }
 
 // follow moves an average towards the newest value, faster up than down.
-func follow(average, newest float64, elapsed time.Duration) float64 {
-	window := fallTime
+func follow(average, newest float64, elapsed, fall time.Duration) float64 {
+	window := fall
 	if newest > average {
 		window = riseTime
 	}
@@ -78,7 +83,7 @@
 
 // Demand returns the averages of what Observe took.
 func (p *Planner) Demand() (prompt, output float64) {
-	return p.prompt, p.output
+	return p.prompt, max(p.output, p.burst)
 }
 
 // Want returns how many of n engines shall process prompts if now do so at present.
@@ -110,6 +115,6 @@
 // need returns the number of prompt engines that the demand asks for. Outputs come first: engines
 // whose memory is full preempt requests, and all of their work is done again.
 func (p *Planner) need(n int) int {
-	outputs := int(math.Ceil(p.output / fill))
+	outputs := int(math.Ceil(max(p.output, p.burst) / fill))
 	return min(int(math.Ceil(p.prompt/target)), n-outputs)
 }
--- a/core/split/planner_test.go
+++ b/core/split/planner_test.go
@@ -63,6 +63,23 @@
 	})
 }
 
+// TestBursts has outputs come in bursts, as when the mix swings: between two of them no more engines may
+// process prompts than leave places for the next.
+func TestBursts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := split.New()
+		now := observe(p, 6, 2.5, 10*time.Second, 12, 7)
+		now = observe(p, 6, 3.8, 8*time.Second, 12, now)
+		for i := range 70 {
+			p.Observe(8.5, 1.9)
+			if now = p.Want(12, now); now > 8 {
+				t.Fatalf("%v after the burst: got %d prompt engines, want 8 at most", time.Duration(i)*500*time.Millisecond, now)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+}
+
 // TestFirstDemand starts with the low demand of the first second: the prior split must survive it.
 func TestFirstDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -63,7 +63,10 @@
 		budget: g.budget(service), arrived: arrived, deadline: arrived.Add(patience(c, rt.Timeout)),
 		tried: make(map[*upstream]bool), priority: rt.Priority,
 	}
-	if x.back = shed.Back(c.Left, g.full(rt.Name).Add(c.Left)); x.back {
+	if c.Left > 0 {
+		x.full = g.full(rt.Name).Add(c.Left)
+	}
+	if (&shed.Load{Stated: c.Left, Full: x.full}).Back() {
 		x.priority = max(rt.Priority, latePriority)
 	}
 	if !x.readBody() {
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -39,8 +39,8 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
-	back     bool // The caller was here before.
-	priority int  // 0 is the most urgent.
+	full     time.Duration // The most that callers of the route have said they have left.
+	priority int           // 0 is the most urgent.
 
 	sent     bool               // A send that is no repeat has arrived.
 	prompted bool               // So has a first request to process the prompt, which is no repeat either.
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -202,6 +204,46 @@
 	}
 }
 
+// TestComeBack has callers state less time than others of their route: whoever came first with a little less
+// keeps the route's priority, whoever has come back goes behind it.
+func TestComeBack(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	p, d, e := engines(t)
+	var mu sync.Mutex
+	priorities := make(map[string][]string)
+	for _, r := range []*simop.Replica{p, d, e} {
+		r.Handle(func(w http.ResponseWriter, req *http.Request) {
+			mu.Lock()
+			id := req.Header.Get("X-Attempt-Id")
+			priorities[id] = append(priorities[id], req.Header.Get("X-Request-Priority"))
+			mu.Unlock()
+			r.Run(w, req)
+		})
+	}
+	s := start(t, store, "", p, d, e)
+	s.ready(t)
+	for _, c := range []struct{ id, left, want string }{
+		{"first", "8000", "0"}, {"less", "6900", "0"}, {"back", "6500", "3"}, {"late", "2000", "3"},
+	} {
+		headers := append(slices.Clone(prompt), "X-Deadline-Remaining-Ms", c.left)
+		if answer, body := s.call(t, "POST", "/model/x", c.id, headers...); answer == nil || answer.StatusCode != http.StatusOK {
+			t.Fatalf("%s: got %v %q", c.id, answer, body)
+		}
+		mu.Lock()
+		got := priorities[c.id]
+		mu.Unlock()
+		if len(got) == 0 {
+			t.Errorf("%s: no engine got it", c.id)
+		}
+		for _, g := range got {
+			if g != c.want {
+				t.Errorf("%s with %s ms left: got priority %q, want %q", c.id, c.left, g, c.want)
+			}
+		}
+	}
+}
+
 // TestResume breaks a stream off in the middle of an event: one that may be resumed goes on at another
 // engine without a gap or a repeat, another one ends without its end.
 func TestResume(t *testing.T) {
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -33,7 +33,7 @@
 		}
 		x.gate.log.Info("placed", "id", x.call.ID, "read", name(choice.Read), "make", choice.Make.ID, "fetch", name(choice.Fetch),
 			"delay", choice.Delay, "work", choice.Work, "prompt", x.call.Prompt, "shared", x.call.Prompt-x.own(), "held", heldBy(choice),
-			"config", x.table.Version, "loads", x.gate.told().age())
+			"priority", x.priority, "stated", x.call.Left, "config", x.table.Version, "loads", x.gate.told().age())
 		end = x.generate(ctx, service, choice, engines, chains)
 		if !x.again(ctx, end) {
 			return end
@@ -45,11 +45,13 @@
 func (x *exchange) admit(c place.Choice) bool {
 	left := time.Until(x.deadline)
 	v := shed.Decide(&shed.Load{
-		Delay: c.Delay, Target: x.route.Target, Patience: x.route.Patience(), Left: left, Back: x.back,
+		Delay: c.Delay, Work: c.Work, Target: x.route.Target, Patience: x.route.Patience(), Left: left,
+		Stated: x.call.Left, Full: x.full,
 	})
 	if !v.Admit {
 		x.count("refused")
-		x.gate.log.Info("refused", "id", x.call.ID, "route", x.route.Name, "why", v.Why, "delay", c.Delay, "left", left, "after", v.After)
+		x.gate.log.Info("refused", "id", x.call.ID, "route", x.route.Name, "why", v.Why, "delay", c.Delay, "work", c.Work, "target", x.route.Target,
+			"left", left, "stated", x.call.Left, "full", x.full, "priority", x.priority, "loads", x.gate.told().age(), "after", v.After)
 		setRetry(x.w, v.After)
 		x.w.WriteHeader(http.StatusServiceUnavailable)
 	}
