gate: measure services and routes beside the configuration, not under a lock

What a gate measures of a service or route is looked up on each request; it stands in the document of the configuration now, which is replaced whole.

--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -44,7 +44,8 @@
 		g.refuse(w, r, "no configuration yet", time.Second)
 		return
 	}
-	table := g.config.Load().table
+	config := g.config.Load()
+	table := config.table
 	rt := table.Find(r.Host, r.URL.Path)
 	if rt == nil {
 		g.log.Info("no route", "id", "", "host", r.Host, "path", r.URL.Path, "version", table.Version)
@@ -61,10 +62,10 @@
 	x := &exchange{
 		gate: g, w: w, r: r, call: c, route: rt, table: table, service: service,
 		budget: g.budget(service), arrived: arrived, deadline: arrived.Add(patience(c, rt.Timeout)),
-		tried: make(map[*upstream]bool), priority: rt.Priority,
+		tried: make(map[*upstream]bool), hold: config.holds[service], priority: rt.Priority,
 	}
 	if c.Left > 0 {
-		x.full = g.full(rt.Name).Add(c.Left)
+		x.full = config.fulls[rt.Name].Add(c.Left)
 	}
 	if (&shed.Load{Stated: c.Left, Full: x.full}).Back() {
 		x.priority = max(rt.Priority, latePriority)
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -10,6 +10,7 @@
 
 	"pimentoseam/core/budget"
 	"pimentoseam/core/call"
+	"pimentoseam/core/mean"
 	"pimentoseam/core/route"
 	"pimentoseam/io/outlet"
 	"pimentoseam/io/proc"
@@ -40,6 +41,7 @@
 	arrived  time.Time
 	deadline time.Time
 	full     time.Duration // The most that callers of the route have said they have left.
+	hold     *mean.Mean    // How long the service's outputs take from their first event on.
 	priority int           // 0 is the most urgent.
 
 	sent     bool               // A send that is no repeat has arrived.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -15,9 +15,7 @@
 	"pimentoseam/core/beat"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/cached"
-	"pimentoseam/core/mean"
 	"pimentoseam/core/member"
-	"pimentoseam/core/peak"
 	"pimentoseam/core/place"
 	"pimentoseam/core/setup"
 	"pimentoseam/io/door"
@@ -81,8 +79,6 @@
 	rumour    rumour
 	upstreams map[string]*upstream // By id; only the follower of members changes it.
 	budgets   map[string]*budget.Budget
-	holds     map[string]*mean.Mean // How long outputs of a service take from their first event on.
-	fulls     map[string]*peak.Peak // What callers of a route have left at first.
 }
 
 // Option changes a Gate.
@@ -113,7 +109,7 @@
 	g := &Gate{
 		file: o.file, lines: lines, log: slog.New(lines).With("process", set.Name),
 		store: platform.NewStore(set.Store), outlet: outlet.New(), placer: place.New(), cached: cached.New(), meter: meter.New(),
-		members: member.New(), upstreams: make(map[string]*upstream), budgets: make(map[string]*budget.Budget), holds: make(map[string]*mean.Mean), fulls: make(map[string]*peak.Peak),
+		members: member.New(), upstreams: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
 		listed: listed{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		began:  time.Now(), behind: make(chan *beat.Beat, 1),
 		peer: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
@@ -266,27 +262,3 @@
 	b.Share(g.gossip.Entries())
 	return b
 }
-
-// hold returns the mean time that a service's outputs take from their first event on.
-func (g *Gate) hold(service string) *mean.Mean {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	m, ok := g.holds[service]
-	if !ok {
-		m = mean.New()
-		g.holds[service] = m
-	}
-	return m
-}
-
-// full returns the time that callers of a route have left at first.
-func (g *Gate) full(route string) *peak.Peak {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p, ok := g.fulls[route]
-	if !ok {
-		p = peak.New()
-		g.fulls[route] = p
-	}
-	return p
-}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -149,7 +149,7 @@
 				x.writeHead(answer)
 			}
 			u.breaker.Success()
-			x.gate.hold(x.service).Add(time.Since(x.arrived) - x.first)
+			x.hold.Add(time.Since(x.arrived) - x.first)
 			x.finished(answer.StatusCode)
 			return done
 		case err != nil && ctx.Err() != nil:
