gate: keep streams that callers go on with at their priority

Read as a newcomer: a caller that goes on with a broken stream states little time too and went behind the others, though its first event was in time; and engines were said to make room for urgent requests that had been put behind. A load with a count beyond 32 bits is refused (TestBadLoad).

--- a/core/beat/beat_test.go
+++ b/core/beat/beat_test.go
@@ -26,6 +26,18 @@
 	}
 }
 
+// TestBadLoad hands over loads that no entry sends.
+func TestBadLoad(t *testing.T) {
+	for name, data := range map[string][]byte{
+		"half a key": {1, 2}, "half a count": {1, 2, 3, 4, 0x80}, "a count beyond 32 bits": {1, 2, 3, 4, 0xff, 0xff, 0xff, 0xff, 0x7f},
+	} {
+		bad := new(beat.BadBeat)
+		if err := new(beat.Load).UnmarshalBinary(data); !errors.As(err, &bad) {
+			t.Errorf("%s: got %v, want a *BadBeat", name, err)
+		}
+	}
+}
+
 // TestSize bounds what an entry sends at the size of today's largest deployments: a beat with the load of
 // 60 upstreams must fit one datagram of 1400 bytes but for its news of prompts.
 func TestSize(t *testing.T) {
--- a/core/beat/load.go
+++ b/core/beat/load.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"math"
 )
 
 // Load is what one entry has in progress at an upstream, by the priority of the requests' routes where
@@ -58,7 +59,7 @@
 			break
 		}
 		n, size := binary.Uvarint(data)
-		if size <= 0 {
+		if size <= 0 || n > math.MaxUint32 {
 			return &BadBeat{Cause: io.ErrUnexpectedEOF}
 		}
 		*count, data = uint32(n), data[size:]
@@ -66,7 +67,7 @@
 	return nil
 }
 
-// counts returns the counts in the order of the wire, the least urgent last, which are zero most often.
+// counts returns the counts in the order of the wire: the least urgent last, which are zero most often.
 func (l *Load) counts() []*uint32 {
 	counts := []*uint32{&l.Running}
 	for i := range Priorities {
--- a/io/gate/callers.go
+++ b/io/gate/callers.go
@@ -67,7 +67,8 @@
 	if c.Left > 0 {
 		x.full = config.fulls[rt.Name].Add(c.Left)
 	}
-	if (&shed.Load{Stated: c.Left, Full: x.full}).Back() {
+	// A stream that the caller goes on with has begun in time.
+	if c.Last == "" && (&shed.Load{Stated: c.Left, Full: x.full}).Back() {
 		x.priority = max(rt.Priority, latePriority)
 	}
 	if !x.readBody() {
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -223,10 +223,13 @@
 	}
 	s := start(t, store, "", p, d, e)
 	s.ready(t)
-	for _, c := range []struct{ id, left, want string }{
-		{"first", "8000", "0"}, {"less", "6900", "0"}, {"back", "6500", "3"}, {"late", "2000", "3"},
+	for _, c := range []struct{ id, left, last, want string }{
+		{"first", "8000", "", "0"}, {"less", "6900", "", "0"}, {"back", "6500", "", "3"}, {"late", "2000", "", "3"}, {"resumed", "6500", "1", "0"},
 	} {
 		headers := append(slices.Clone(prompt), "X-Deadline-Remaining-Ms", c.left)
+		if c.last != "" {
+			headers = append(headers, "Last-Event-Id", c.last)
+		}
 		if answer, body := s.call(t, "POST", "/model/x", c.id, headers...); answer == nil || answer.StatusCode != http.StatusOK {
 			t.Fatalf("%s: got %v %q", c.id, answer, body)
 		}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -111,7 +111,7 @@
 	return &place.Job{
 		Prompt: x.call.Prompt, Output: x.call.Output, Zone: x.gate.set().Zone,
 		Bytes: service.Engine.Bytes, Link: service.Engine.Link,
-		Urgent: x.table.Urgent(x.route, x.service), Hold: x.hold.Value(),
+		Urgent: x.priority == x.route.Priority && x.table.Urgent(x.route, x.service), Hold: x.hold.Value(),
 	}
 }
 
