proc: know the settings file's version before it is read

Cause: WatchSettings read the file's version for the first time in its own goroutine, so a change between the first read of the settings and that was missed until the next change (TestReload, KNOWN-RED.txt). SIGHUP in the same span ended the process, since nothing was registered for it yet.

Ruled out: a slow test; the change was missed for good, not late.

Change: proc.WatchSettings notes the version and takes SIGHUP before the settings are read, and returns a SettingsFile that runs later.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -45,7 +45,7 @@
 // Gate is an entry that routes callers' requests to upstreams.
 type Gate struct {
 	current       atomic.Pointer[setup.Gate] // The settings in force.
-	file          string                     // The settings file; empty for none.
+	file          *proc.SettingsFile
 	log           *slog.Logger
 	logHandler    *logbuf.Handler
 	store         *platform.Store
@@ -87,12 +87,12 @@
 
 type options struct {
 	out  io.Writer
-	file string
+	file *proc.SettingsFile
 }
 
 // WithFile sets the settings file, which is read again on SIGHUP and whenever it changes.
-func WithFile(path string) Option {
-	return func(o *options) { o.file = path }
+func WithFile(file *proc.SettingsFile) Option {
+	return func(o *options) { o.file = file }
 }
 
 // WithLog sets the destination of the log; the default is standard output.
@@ -102,7 +102,7 @@
 
 // New returns a Gate with the given settings.
 func New(settings *setup.Gate, opts ...Option) *Gate {
-	o := options{out: os.Stdout}
+	o := options{out: os.Stdout, file: proc.WatchSettings("")}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -177,7 +177,7 @@
 	go g.watchMembers.Run(workCtx)
 	go g.sweep(workCtx)
 	go g.election.run(ctx)
-	go proc.WatchSettings(workCtx, g.log, g.file, g.reload)
+	go g.file.Run(workCtx, g.log, g.reload)
 	<-ctx.Done()
 	g.shutdown(server)
 	return nil
--- a/io/gate/reload.go
+++ b/io/gate/reload.go
@@ -6,7 +6,7 @@
 
 // reload reads the settings file and applies the settings that can change in a running process.
 func (g *Gate) reload() (*setup.Change, error) {
-	next, err := setup.ReadGate(g.file)
+	next, err := setup.ReadGate(g.file.Path())
 	if err != nil {
 		return nil, err
 	}
--- a/io/gate/reload_test.go
+++ b/io/gate/reload_test.go
@@ -11,6 +11,7 @@
 
 	"pimentoseam/core/setup"
 	"pimentoseam/io/gate"
+	"pimentoseam/io/proc"
 )
 
 // TestReload changes the settings file of a running gate without a signal. An invalid file has no effect. A valid one
@@ -36,7 +37,7 @@
 	}
 	write(set)
 	log := &logRecorder{}
-	g := runGate(t, store, set, gate.New(set, gate.WithLog(log), gate.WithFile(file)), app)
+	g := runGate(t, store, set, gate.New(set, gate.WithLog(log), gate.WithFile(proc.WatchSettings(file))), app)
 	g.waitReady(t)
 	if err := os.WriteFile(file, []byte(`{"name":`), 0o600); err != nil {
 		t.Fatal(err)
--- a/io/oper/gate.go
+++ b/io/oper/gate.go
@@ -7,6 +7,7 @@
 
 	"pimentoseam/core/setup"
 	"pimentoseam/io/gate"
+	"pimentoseam/io/proc"
 	"pimentoseam/platform"
 )
 
@@ -23,11 +24,12 @@
 }
 
 func (c *gateCommand) run(ctx context.Context, _ *Options) (Code, error) {
+	file := proc.WatchSettings(c.file)
 	settings, err := setup.ReadGate(c.file)
 	if err != nil {
 		return Invalid, err
 	}
-	if err := gate.New(settings, gate.WithFile(c.file)).Run(ctx); err != nil {
+	if err := gate.New(settings, gate.WithFile(file)).Run(ctx); err != nil {
 		return Failure, err
 	}
 	return OK, nil
--- a/io/oper/tend.go
+++ b/io/oper/tend.go
@@ -6,6 +6,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"pimentoseam/core/setup"
+	"pimentoseam/io/proc"
 	"pimentoseam/io/tend"
 	"pimentoseam/platform"
 )
@@ -23,11 +24,12 @@
 }
 
 func (c *tendCommand) run(ctx context.Context, _ *Options) (Code, error) {
+	file := proc.WatchSettings(c.file)
 	settings, err := setup.ReadTend(c.file)
 	if err != nil {
 		return Invalid, err
 	}
-	if err := tend.New(settings, tend.WithFile(c.file)).Run(ctx); err != nil {
+	if err := tend.New(settings, tend.WithFile(file)).Run(ctx); err != nil {
 		return Failure, err
 	}
 	return OK, nil
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -11,12 +11,10 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 	"time"
 
 	"pimentoseam/core/event"
-	"pimentoseam/core/setup"
 )
 
 // Logger returns a logger that writes one key=value line per event to standard error.
@@ -45,56 +43,6 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// reloadInterval is the time between checks of the settings file for a change.
-const reloadInterval = time.Second
-
-// WatchSettings calls apply on each SIGHUP and after each change of the settings file, until ctx ends, and logs
-// the result. If apply fails, the settings stay as they are. Without a file, SIGHUP is only logged.
-func WatchSettings(ctx context.Context, log *slog.Logger, file string, apply func() (*setup.Change, error)) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	loaded := fileVersion(file)
-	for {
-		why := "signal"
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		case <-ticker.C:
-			if fileVersion(file) == loaded {
-				continue
-			}
-			why = "file"
-		}
-		loaded = fileVersion(file)
-		if file == "" {
-			log.Info("reload", "why", why, "file", file)
-			continue
-		}
-		change, err := apply()
-		if err != nil {
-			log.Error("reload", "why", why, "file", file, "err", err)
-			continue
-		}
-		log.Info("reload", "why", why, "file", file, "now", change.Applied, "later", change.Deferred)
-	}
-}
-
-// fileVersion returns a string that changes when the file is modified or can't be read.
-func fileVersion(file string) string {
-	if file == "" {
-		return ""
-	}
-	info, err := os.Stat(file)
-	if err != nil {
-		return err.Error() // This counts as a change, so that apply reports the error.
-	}
-	return info.ModTime().String() + strconv.FormatInt(info.Size(), 10)
-}
-
 // startTime is when this process started. It has a monotonic clock reading, so times measured from it do not
 // jump when the wall clock is set.
 var startTime = time.Now()
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -43,7 +43,7 @@
 // Tend keeps one engine in the role that the plan assigns to it.
 type Tend struct {
 	settings      *setup.Tend
-	file          string      // Path of the settings file; empty for none.
+	file          *proc.SettingsFile
 	lastRead      *setup.Tend // The settings that were read last, including those that need a restart.
 	log           *slog.Logger
 	logHandler    *logbuf.Handler
@@ -64,8 +64,8 @@
 type Option func(*Tend)
 
 // WithFile sets the settings file, which is read again on SIGHUP and after each change.
-func WithFile(path string) Option {
-	return func(t *Tend) { t.file = path }
+func WithFile(file *proc.SettingsFile) Option {
+	return func(t *Tend) { t.file = file }
 }
 
 // WithNoticeTimeout sets the time without a notice after which the plan is read from the store.
@@ -77,7 +77,7 @@
 func New(settings *setup.Tend, opts ...Option) *Tend {
 	handler := logbuf.New(os.Stdout)
 	t := &Tend{
-		settings: settings, lastRead: settings, noticeTimeout: defaultNoticeTimeout, logHandler: handler, log: slog.New(handler).With("process", settings.Name),
+		settings: settings, file: proc.WatchSettings(""), lastRead: settings, noticeTimeout: defaultNoticeTimeout, logHandler: handler, log: slog.New(handler).With("process", settings.Name),
 		store: platform.NewStore(settings.Store), pool: client.New(), meter: meter.New(), planChanged: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -88,7 +88,7 @@
 
 // reload reads the settings file and applies the settings that can change in a running process.
 func (t *Tend) reload() (*setup.Change, error) {
-	next, err := setup.ReadTend(t.file)
+	next, err := setup.ReadTend(t.file.Path())
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +113,7 @@
 		defer stop()
 		go t.receiveNotices(ctx, conn)
 	}
-	go proc.WatchSettings(ctx, t.log, t.file, t.reload)
+	go t.file.Run(ctx, t.log, t.reload)
 	go t.serveMetrics(ctx)
 	for ctx.Err() == nil {
 		wait := t.reconcile(ctx)
