gate, tend: leaving replicas and pauses that replicas ask for

Cause: a replica may now say Server-Leaving in its answers and Retry-After with its 503, and the product read neither. It went by the list alone, so a replica that leaves before the list says so got requests past its drain time, and one that asked for a pause was asked again after 150 ms.

Ruled out: a field more in beats. Their encoding is an array of fixed length, and an entry of the released version rejects a longer one and takes its sender for lost. New facts go in an alert, a map by number that old entries log and drop (core/alert).

Change: core/leave keeps the runs that leave, by key and start, whatever the list says; entries tell each other by alerts. A leaving replica gets requests only if no other can take them, and those for half of the drain time. A pause is exact and per entry: placing, admission, retries and the release of KV caches leave the replica alone, and if all of a service pause, the caller is refused at once with the earliest time. tend sends no order to an engine that leaves and no call to one that wants a pause.

--- /dev/null
+++ b/core/alert/alert.go
@@ -0,0 +1,64 @@
+package alert
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"pimentoseam/core/leave"
+)
+
+// MaxLeaving is the maximum number of runs in an alert, which then has about 11 kB.
+const MaxLeaving = 800
+
+// Alert states what an entry knows, whether from itself or from other entries. Each alert replaces the previous one of
+// the same entry.
+type Alert struct {
+	Name      string      `cbor:"1,keyasint"`           // The sending entry.
+	ShareAddr string      `cbor:"2,keyasint"`           // The HTTP address that serves the configuration and the upstream list.
+	Era       int64       `cbor:"3,keyasint,omitempty"` // The newest known era of the store.
+	Members   int64       `cbor:"4,keyasint,omitempty"` // The stamp of the newest known change of the upstream list.
+	Leaving   []leave.Run `cbor:"5,keyasint,omitempty"` // The upstreams that have stated that they leave.
+}
+
+// IsEmpty reports whether a states nothing that a beat doesn't.
+func (a *Alert) IsEmpty() bool {
+	return a.Era == 0 && len(a.Leaving) == 0
+}
+
+// BadAlert reports a datagram that can't be decoded as an Alert.
+type BadAlert struct {
+	Cause error
+}
+
+// Error returns a message with the cause.
+func (e *BadAlert) Error() string {
+	return "alert: " + e.Cause.Error()
+}
+
+// Unwrap returns the decoder's error.
+func (e *BadAlert) Unwrap() error {
+	return e.Cause
+}
+
+// IsAlert reports whether a datagram is an alert rather than a beat: a CBOR map in place of an array.
+func IsAlert(data []byte) bool {
+	const majorType, mapType = 0xe0, 0xa0
+	return len(data) > 0 && data[0]&majorType == mapType
+}
+
+// Encode returns the CBOR encoding of a.
+func (a *Alert) Encode() []byte {
+	data, err := cbor.Marshal(a)
+	if err != nil {
+		panic(err) // no field of an Alert can fail to encode
+	}
+	return data
+}
+
+// Parse decodes a datagram; its error is a *BadAlert.
+func Parse(data []byte) (*Alert, error) {
+	var a Alert
+	if err := cbor.Unmarshal(data, &a); err != nil {
+		return nil, &BadAlert{Cause: err}
+	}
+	return &a, nil
+}
--- a/core/call/dispatch.go
+++ b/core/call/dispatch.go
@@ -41,4 +41,7 @@
 	HasSeal  bool   // Has the header that only the upstream sets.
 	Instance string // Name of the upstream that answers; empty if not given.
 	Load     *Load  // Nil if not given or not readable.
+	Leaving  bool   // The upstream states that it leaves.
+	// Pause is how long the upstream wants nothing from the VM that it answers; 0 if it doesn't ask for a pause.
+	Pause time.Duration
 }
--- /dev/null
+++ b/core/leave/doc.go
@@ -0,0 +1,4 @@
+// Package leave remembers the upstreams that have stated that they leave.
+//
+// The entries on the operations platform use it.
+package leave
--- a/io/gate/election.go
+++ b/io/gate/election.go
@@ -303,11 +303,12 @@
 	return set
 }
 
-// engines returns the engines of a service, except those whose address belongs to another instance now.
+// engines returns the engines of a service, except those that leave and those whose address belongs to another instance
+// now.
 func (l *election) engines(service string) []*member.Upstream {
 	var list []*member.Upstream
 	for _, u := range l.gate.snapshot.Load().services[service] {
-		if info := u.info.Load(); info.Role != "" && !u.replaced.Load() {
+		if info := u.info.Load(); info.Role != "" && !u.replaced.Load() && !u.isLeaving() {
 			list = append(list, info)
 		}
 	}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -139,9 +139,10 @@
 	maxRetryAfter = 400 * time.Millisecond
 )
 
-// retryAfter returns the time after which the caller of a request that did not run may retry.
+// retryAfter returns the time after which the caller of a request that did not run may retry: once the first upstream
+// accepts requests again if all have asked for a pause, otherwise soon.
 func (x *exchange) retryAfter() time.Duration {
-	return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	return x.gate.shortestPause(x.service) + minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
 }
 
 // setRetryAfter sets the Retry-After header, in seconds with three decimals.
@@ -215,7 +216,8 @@
 	info := u.info.Load()
 	dispatch.Instance, x.lastUpstream = info.ID, info.ID
 	dispatch.Remaining = time.Until(x.deadline)
-	if !u.breaker.Allow() {
+	// An answer to another request may have asked for a pause since the upstream was chosen.
+	if u.refusingFor() > 0 || !u.breaker.Allow() {
 		x.rejections++
 		return nil, notRun
 	}
@@ -233,6 +235,7 @@
 	x.delivered++
 	u.lastReceived.Store(proc.Uptime())
 	reply := platform.ReadReply(resp.StatusCode, resp.Header)
+	x.gate.observe(u, reply)
 	if reply.NotRun {
 		x.rejections++
 		u.breaker.Success()
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -15,6 +15,7 @@
 	"pimentoseam/core/beat"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/cached"
+	"pimentoseam/core/leave"
 	"pimentoseam/core/member"
 	"pimentoseam/core/place"
 	"pimentoseam/core/setup"
@@ -75,6 +76,7 @@
 	memberSet      *member.Set         // The upstreams of the list, and removed ones in their grace.
 	storeList      upstreamList        // The list in the store as last known, with recent removals.
 	membersKnown   bool                // The upstream list has been read.
+	leaving        *leave.Set          // The upstreams that have stated that they leave.
 	beatPrefixes   []beat.CachedPrefix // Prefixes for the next beat.
 	digestPrefixes []beat.CachedPrefix // Prefixes for the next digest of the zone.
 	newest         peerVersions
@@ -110,7 +112,7 @@
 	g := &Gate{
 		file: o.file, logHandler: logHandler, log: slog.New(logHandler).With("process", settings.Name),
 		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), cached: cached.New(), meter: meter.New(),
-		memberSet: member.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
+		memberSet: member.New(), leaving: leave.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
 		storeList: upstreamList{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		started:   time.Now(), newerBeats: make(chan *beat.Beat, 1),
 		peerClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
--- a/io/gate/members.go
+++ b/io/gate/members.go
@@ -161,6 +161,7 @@
 				g.upstreamStates[m.ID] = u
 			}
 			u.info.Store(m)
+			g.markLeaving(u)
 			s.services[service] = append(s.services[service], u)
 			s.byKey[u.key] = u
 		}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -120,13 +120,16 @@
 }
 
 // candidates returns the engines that may get the request, and their upstreams by id. Engines that are changing
-// roles or have just rejected a request are included only if includeUnavailable is set.
+// roles, leave or have just rejected a request are included only if includeUnavailable is set.
 func (x *exchange) candidates(service *route.Service, cachedTokens, pendingTokens map[string]int, includeUnavailable bool) ([]*place.Engine, map[string]*upstream) {
-	peers := x.gate.peerState()
+	peers, drainTime := x.gate.peerState(), x.gate.settings().DrainTime.Duration()
 	byID := make(map[string]*upstream)
 	var engines []*place.Engine
 	for _, u := range x.gate.snapshot.Load().services[x.service] {
-		if !u.isUsable() || x.tried[u] || (!includeUnavailable && (u.isPaused() || peers.changingRole[u.key])) {
+		if !u.isUsable() || x.tried[u] || (u.isLeaving() && !u.isLastResort(drainTime)) {
+			continue
+		}
+		if !includeUnavailable && (u.isLeaving() || u.isPaused() || peers.changingRole[u.key]) {
 			continue
 		}
 		info := u.info.Load()
@@ -186,7 +189,7 @@
 		}
 	}
 	if outcome != done && !x.headSent {
-		go x.gate.releaseKVCache(choice.Prefill.ID, handle, x.call.ID)
+		go x.gate.releaseKVCache(prefillEngine, choice.Prefill.ID, handle, x.call.ID)
 	}
 	return outcome
 }
@@ -225,8 +228,12 @@
 // a few seconds later.
 const releaseTimeout = time.Second
 
-// releaseKVCache tells an engine that its KV cache for a request is no longer needed.
-func (g *Gate) releaseKVCache(instance string, handle call.Handle, request string) {
+// releaseKVCache tells an engine that its KV cache for a request is no longer needed, unless the engine wants no calls.
+func (g *Gate) releaseKVCache(engine *upstream, instance string, handle call.Handle, request string) {
+	if engine.isLeaving() || engine.refusingFor() > 0 {
+		g.log.Info("not freed", "id", request, "upstream", instance, "leaving", engine.isLeaving(), "pause", engine.refusingFor())
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	status := 0
@@ -236,6 +243,7 @@
 	}, 0)
 	if err == nil {
 		status = resp.StatusCode
+		g.observe(engine, platform.ReadReply(status, resp.Header))
 		_, err = resp.ReadAll(maxHandleBytes)
 		resp.Close()
 	}
--- /dev/null
+++ b/io/gate/reply.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"time"
+
+	"pimentoseam/core/alert"
+	"pimentoseam/core/beat"
+	"pimentoseam/core/call"
+	"pimentoseam/core/leave"
+	"pimentoseam/core/member"
+	"pimentoseam/io/proc"
+)
+
+// observe records what an upstream states about itself in a reply: that it leaves or wants nothing for some time.
+func (g *Gate) observe(u *upstream, reply call.Reply) {
+	info := u.info.Load()
+	if reply.Instance != "" && reply.Instance != info.ID {
+		return // Another upstream answers at the address.
+	}
+	if reply.Pause > 0 {
+		u.refuse(reply.Pause)
+		g.log.Info("pause", "upstream", info.ID, "for", reply.Pause)
+	}
+	if reply.Leaving && !u.isLeaving() {
+		g.recordLeaving([]leave.Run{runOf(info)}, "itself")
+	}
+}
+
+// runOf returns the present run of an upstream.
+func runOf(info *member.Upstream) leave.Run {
+	return leave.Run{Key: beat.Key(info.ID), Started: info.Started}
+}
+
+// recordLeaving records that runs of upstreams leave, and tells the other entries of new ones.
+func (g *Gate) recordLeaving(runs []leave.Run, source string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range runs {
+		if !g.leaving.Add(r) {
+			continue
+		}
+		id := ""
+		if u := g.snapshot.Load().byKey[r.Key]; u != nil && runOf(u.info.Load()) == r {
+			id = u.info.Load().ID
+			u.leavingSince.CompareAndSwap(0, proc.Uptime())
+		}
+		g.log.Info("leaving", "upstream", id, "key", r.Key, "started", r.Started, "from", source)
+		g.gossip.Trigger()
+	}
+}
+
+// markLeaving sets whether an upstream is known to leave; the lock must be held.
+func (g *Gate) markLeaving(u *upstream) {
+	if since, ok := g.leaving.Since(runOf(u.info.Load())); ok {
+		u.leavingSince.CompareAndSwap(0, max(1, proc.Uptime()-int64(time.Since(since))))
+	}
+}
+
+// shortestPause returns the time until the first upstream of a service accepts requests again if all usable ones have
+// asked for a pause; otherwise it returns 0.
+func (g *Gate) shortestPause(service string) time.Duration {
+	var shortest time.Duration
+	for _, u := range g.snapshot.Load().services[service] {
+		if u.replaced.Load() || u.isLeaving() || u.breaker.IsOpen() {
+			continue
+		}
+		pause := u.refusingFor()
+		if pause <= 0 {
+			return 0
+		}
+		if shortest == 0 || pause < shortest {
+			shortest = pause
+		}
+	}
+	return shortest
+}
+
+// Alert returns what this entry knows that a beat doesn't state.
+func (g gossipSource) Alert() *alert.Alert {
+	settings := g.settings()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &alert.Alert{Name: settings.Name, ShareAddr: settings.Share.String(), Leaving: g.leaving.Runs(alert.MaxLeaving)}
+}
+
+// HandleAlert handles an alert of another entry.
+func (g gossipSource) HandleAlert(a *alert.Alert) {
+	g.recordLeaving(a.Leaving, a.Name)
+}
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -20,6 +20,8 @@
 	breaker        *health.Breaker
 	replaced       atomic.Bool                      // Another instance responds at its address.
 	pausedUntil    atomic.Int64                     // Process uptime until which it is paused.
+	refusingUntil  atomic.Int64                     // Process uptime until which it has asked to get nothing.
+	leavingSince   atomic.Int64                     // Process uptime since which it is known to leave; 0 if it doesn't.
 	lastReceived   atomic.Int64                     // Process uptime at which it last sent any bytes.
 	running        atomic.Int64                     // Number of requests in progress.
 	prefillBacklog [beat.NumPriorities]atomic.Int64 // Processing time of prompts without a first token, in nanoseconds.
@@ -86,9 +88,39 @@
 // backlogUnit is the unit of the prefill backlog in beats.
 const backlogUnit = 100 * time.Microsecond
 
-// isUsable reports whether the upstream may get requests now.
+// isUsable reports whether the upstream may get requests now, apart from its leaving.
 func (u *upstream) isUsable() bool {
-	return !u.replaced.Load() && !u.breaker.IsOpen()
+	return !u.replaced.Load() && !u.breaker.IsOpen() && u.refusingFor() <= 0
+}
+
+// refusingFor returns how much longer the upstream wants nothing from this VM; at most 0 if it accepts requests.
+func (u *upstream) refusingFor() time.Duration {
+	return time.Duration(u.refusingUntil.Load() - proc.Uptime())
+}
+
+// refuse records that the upstream wants nothing from this VM for d. A shorter pause doesn't end a longer one.
+func (u *upstream) refuse(d time.Duration) {
+	until := proc.Uptime() + int64(d)
+	for old := u.refusingUntil.Load(); old < until; old = u.refusingUntil.Load() {
+		if u.refusingUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
+
+// isLeaving reports whether the upstream has stated that it leaves.
+func (u *upstream) isLeaving() bool {
+	return u.leavingSince.Load() > 0
+}
+
+// lastResortShare is the share of the drain time in which a leaving upstream still gets requests that no other one can
+// take. The rest covers the time until it has read them.
+const lastResortShare = 0.5
+
+// isLastResort reports whether the upstream leaves, but may still get requests that no other one can take.
+func (u *upstream) isLastResort(drainTime time.Duration) bool {
+	since := u.leavingSince.Load()
+	return since > 0 && float64(proc.Uptime()-since) < lastResortShare*float64(drainTime)
 }
 
 // pauseTime is how long an upstream that rejected a request, because it was full or has changed roles, gets
@@ -128,12 +160,20 @@
 // fewest requests in progress; at equal load it prefers the gate's own availability zone. It returns nil if there is
 // none.
 func (g *Gate) pickPlain(service string, tried map[*upstream]bool) *upstream {
-	var usable []*upstream
+	var usable, lastResort []*upstream
+	drainTime := g.settings().DrainTime.Duration()
 	for _, u := range g.snapshot.Load().services[service] {
-		if u.isUsable() && !tried[u] {
+		switch {
+		case !u.isUsable() || tried[u]:
+		case !u.isLeaving():
 			usable = append(usable, u)
+		case u.isLastResort(drainTime):
+			lastResort = append(lastResort, u)
 		}
 	}
+	if len(usable) == 0 {
+		usable = lastResort
+	}
 	if len(usable) == 0 {
 		return nil
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"pimentoseam/core/alert"
 	"pimentoseam/core/beat"
 	"pimentoseam/io/proc"
 )
@@ -39,6 +40,9 @@
 	maxDigestSenders = 2
 	// maxPeerSample limits the peer sample that is sent to an entry of another zone.
 	maxPeerSample = 16
+	// alertInterval is the mean interval between alerts while nothing changes. It repeats lost ones in time for the
+	// two seconds in which a leaving upstream must get no more work.
+	alertInterval = 500 * time.Millisecond
 	// triggerDelay is the delay of a triggered beat, so that changes in quick succession share one beat.
 	triggerDelay = 20 * time.Millisecond
 	// maxDatagramBytes limits a received datagram; UDP allows no larger ones. The digest of a zone with 2000 busy
@@ -131,6 +135,10 @@
 	Digest() *beat.Beat
 	// HandleBeat is called with each received beat or digest that supersedes the previous one.
 	HandleBeat(*beat.Beat)
+	// Alert returns what the entry knows that a beat doesn't state.
+	Alert() *alert.Alert
+	// HandleAlert is called with each received alert.
+	HandleAlert(*alert.Alert)
 }
 
 // Error reports that the UDP socket can't be opened.
@@ -291,7 +299,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var round int
-	var nextBeat, nextDigest time.Time
+	var nextBeat, nextDigest, nextAlert time.Time
 	for ctx.Err() == nil {
 		triggered := false
 		select {
@@ -318,7 +326,11 @@
 			}
 			nextDigest = now.Add(proc.Jitter(interval) * 2 / 3) // 2/3 to 4/3 of the mean interval.
 		}
-		timer.Reset(max(0, min(time.Until(nextBeat), time.Until(nextDigest))))
+		if now := time.Now(); triggered || !now.Before(nextAlert) {
+			g.sendAlert()
+			nextAlert = now.Add(proc.Jitter(2*alertInterval) * 2 / 3) // 2/3 to 4/3 of the mean interval.
+		}
+		timer.Reset(max(0, min(time.Until(nextBeat), time.Until(nextDigest), time.Until(nextAlert))))
 	}
 }
 
@@ -336,16 +348,44 @@
 	}
 }
 
-// sendDigest sends the zone's digest to one entry of each other zone.
-func (g *Gossip) sendDigest() {
+// sendAlert sends this entry's alert, unless it is empty, to the live peers and, if this entry sends digests, to one
+// entry of each other zone.
+func (g *Gossip) sendAlert() {
+	a := g.delegate.Alert()
+	if a.IsEmpty() {
+		return
+	}
+	var targets []netip.AddrPort
+	for _, p := range g.Peers() {
+		if p.Alive() {
+			targets = append(targets, p.Addr)
+		}
+	}
+	if g.SendsDigest() {
+		targets = append(targets, g.zoneTargets()...)
+	}
+	data := a.Encode()
+	for _, addr := range targets {
+		g.Send(addr, data)
+	}
+}
+
+// zoneTargets returns the address of one entry of each other zone.
+func (g *Gossip) zoneTargets() []netip.AddrPort {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	targets := make([]netip.AddrPort, 0, len(g.zones))
 	for _, z := range g.zones {
 		if addr := z.target(); addr.IsValid() {
 			targets = append(targets, addr)
 		}
 	}
-	g.mu.Unlock()
+	return targets
+}
+
+// sendDigest sends the zone's digest to one entry of each other zone.
+func (g *Gossip) sendDigest() {
+	targets := g.zoneTargets()
 	if len(targets) == 0 {
 		return
 	}
@@ -408,6 +448,10 @@
 			}
 			continue
 		}
+		if alert.IsAlert(buffer[:n]) {
+			g.handleAlert(from, buffer[:n])
+			continue
+		}
 		b, err := beat.Parse(buffer[:n])
 		if err != nil {
 			g.log.Warn("invalid beat", "peer", from, "err", err)
@@ -427,6 +471,18 @@
 	}
 }
 
+// handleAlert passes an alert of another entry on to the delegate.
+func (g *Gossip) handleAlert(from netip.AddrPort, data []byte) {
+	a, err := alert.Parse(data)
+	if err != nil {
+		g.log.Warn("invalid alert", "peer", from, "err", err)
+		return
+	}
+	if a.Name != g.name {
+		g.delegate.HandleAlert(a)
+	}
+}
+
 // handleBeat stores a beat of an entry of this zone.
 func (g *Gossip) handleBeat(from netip.AddrPort, b *beat.Beat) {
 	g.mu.Lock()
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -21,6 +21,8 @@
 
 	mu             sync.Mutex
 	stage          string           // Empty for a plain service.
+	born           int64            // Start time in Unix milliseconds, 0 if it is not stated.
+	beats          int64            // Number of registrations so far.
 	acceptedOrders int64            // Number of accepted orders since the start.
 	orderTokens    []int64          // Fencing tokens of the accepted orders.
 	runs           map[string]int   // Number of runs by attempt ID.
@@ -32,6 +34,9 @@
 	abortAfter     int              // Number of events after which a stream is aborted; 0 for never.
 	disconnects    int              // Number of streams whose callers disconnected.
 	heldCaches     map[string]bool  // Handles of KV caches that were neither taken nor released.
+	leaving        bool             // Every answer states that the replica leaves.
+	retryAfter     string           // Unless empty, every call is turned away with this Retry-After.
+	turnedAway     int              // Number of calls that were turned away.
 }
 
 // Option configures a Replica.
@@ -141,6 +146,34 @@
 	r.stage, r.acceptedOrders, r.orderTokens = stage, 0, nil
 }
 
+// SetBorn sets the start time that the replica states, in Unix milliseconds.
+func (r *Replica) SetBorn(born int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born = born
+}
+
+// SetLeaving makes every answer state that the replica leaves.
+func (r *Replica) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
+// SetRetryAfter makes the replica turn every call away with status 503 and this Retry-After, unless it is empty.
+func (r *Replica) SetRetryAfter(retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryAfter = retryAfter
+}
+
+// TurnedAway returns the number of calls that were turned away.
+func (r *Replica) TurnedAway() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.turnedAway
+}
+
 // Stage returns the current stage, empty for a plain service.
 func (r *Replica) Stage() string {
 	r.mu.Lock()
@@ -155,8 +188,11 @@
 
 // RegistrationAt is Registration with another address, such as that of a relay in front of the replica.
 func (r *Replica) RegistrationAt(state string, addr netip.AddrPort) []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z","version":"v1","slots":64,"state":%q,"stage":%q,"sequence":0}`,
-		r.Service, addr, state, r.Stage())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.beats++
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z","version":"v1","slots":64,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
+		r.Service, addr, state, r.stage, r.beats, r.born)
 }
 
 // handlePath is the prefix of the path at which the KV cache of a handle is released.
@@ -164,9 +200,19 @@
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
-	handler := r.handler
+	handler, leaving, retryAfter := r.handler, r.leaving, r.retryAfter
+	if retryAfter != "" {
+		r.turnedAway++
+	}
 	r.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
+	case retryAfter != "":
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Retry-After", retryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case req.URL.Path == "/api/report":
 		r.serveReport(w)
 	case req.Header.Get("X-Target-Instance") != "" && req.Header.Get("X-Target-Instance") != r.ID:
@@ -243,7 +289,8 @@
 	writeJSON(w, struct {
 		Stage    string `json:"stage"`
 		Sequence int64  `json:"sequence"`
-	}{Stage: r.stage, Sequence: r.acceptedOrders})
+		Born     int64  `json:"born"`
+	}{Stage: r.stage, Sequence: r.acceptedOrders, Born: r.born})
 }
 
 func (r *Replica) serveOrder(w http.ResponseWriter, req *http.Request) {
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"pimentoseam/core/call"
 	"pimentoseam/core/member"
 	"pimentoseam/core/notice"
 	"pimentoseam/core/plan"
@@ -52,6 +53,7 @@
 	pool          *client.Pool
 	meter         *meter.Meter
 	planChanged   chan struct{}
+	pauseEnd      time.Time // Until then the engine wants no calls.
 
 	mu          sync.Mutex
 	command     plan.Command // The engine's command in the newest known plan.
@@ -235,11 +237,17 @@
 	if !ok {
 		return reportInterval
 	}
-	report, err := t.fetchReport(ctx)
+	if pause := time.Until(t.pauseEnd); pause > 0 {
+		return pause
+	}
+	report, leaving, err := t.fetchReport(ctx)
 	if err != nil {
 		t.log.Warn("no report from engine", "err", err)
 		return reportInterval
 	}
+	if leaving {
+		return reportInterval // An order would only take the engine from its last requests.
+	}
 	if report.Busy {
 		return busyReportInterval
 	}
@@ -263,6 +271,7 @@
 		return retryPause
 	}
 	defer resp.Close()
+	t.observe(platform.ReadReply(resp.StatusCode, resp.Header))
 	if _, err := resp.ReadAll(maxReportBytes); err != nil {
 		log.Warn("no response to order", "err", err)
 		return retryPause
@@ -277,20 +286,31 @@
 	return retryPause
 }
 
-// fetchReport requests the engine's report.
-func (t *Tend) fetchReport(ctx context.Context) (*platform.Report, error) {
+// observe records a pause that the engine asks for.
+func (t *Tend) observe(reply call.Reply) {
+	if reply.Pause > 0 {
+		t.pauseEnd = time.Now().Add(reply.Pause)
+		t.log.Info("pause", "engine", t.settings.Engine, "for", reply.Pause)
+	}
+}
+
+// fetchReport requests the engine's report; leaving tells whether the engine states that it leaves.
+func (t *Tend) fetchReport(ctx context.Context) (report *platform.Report, leaving bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := t.pool.Do(ctx, t.settings.Engine, &client.Request{
 		Method: http.MethodGet, Target: platform.ReportPath, Host: t.settings.Engine.String(),
 	}, 0)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	defer resp.Close()
+	reply := platform.ReadReply(resp.StatusCode, resp.Header)
+	t.observe(reply)
 	body, err := resp.ReadAll(maxReportBytes)
 	if err != nil {
-		return nil, err
+		return nil, reply.Leaving, err
 	}
-	return platform.ReadReport(body)
+	report, err = platform.ReadReport(body)
+	return report, reply.Leaving, err
 }
--- a/io/tend/tend_test.go
+++ b/io/tend/tend_test.go
@@ -169,3 +169,49 @@
 		t.Errorf("got orders with tokens %v for another instance, want none", got)
 	}
 }
+
+// TestLeavingEngine checks that an engine that states that it leaves gets no order.
+func TestLeavingEngine(t *testing.T) {
+	store, engine := simop.NewStore(), simop.NewReplica("i-1", "lm", "decode")
+	t.Cleanup(store.Close)
+	t.Cleanup(engine.Close)
+	engine.SetLeaving(true)
+	peer := startAgent(t, store, engine)
+	for range 15 {
+		sendDatagram(t, peer, noticeFor(engine, "prefill", 2).Encode())
+		time.Sleep(100 * time.Millisecond)
+	}
+	if orders := engine.OrderTokens(); len(orders) != 0 {
+		t.Errorf("the leaving engine got orders with tokens %v, want none", orders)
+	}
+	engine.SetLeaving(false)
+	engine.SetBorn(7)
+	eventually(t, 4*time.Second, "ordered after its restart", func() bool {
+		sendDatagram(t, peer, noticeFor(engine, "prefill", 2).Encode())
+		return engine.Stage() == "prefill"
+	})
+}
+
+// TestEngineRetryAfter checks that an engine that turns calls away with Retry-After gets no call for that time.
+func TestEngineRetryAfter(t *testing.T) {
+	store, engine := simop.NewStore(), simop.NewReplica("i-1", "lm", "decode")
+	t.Cleanup(store.Close)
+	t.Cleanup(engine.Close)
+	engine.SetRetryAfter("3")
+	peer := startAgent(t, store, engine)
+	eventually(t, 2*time.Second, "turned away", func() bool {
+		sendDatagram(t, peer, noticeFor(engine, "prefill", 2).Encode())
+		return engine.TurnedAway() > 0
+	})
+	began := time.Now()
+	for time.Since(began) < 2500*time.Millisecond {
+		time.Sleep(100 * time.Millisecond)
+		sendDatagram(t, peer, noticeFor(engine, []string{"prefill", "decode"}[time.Now().Second()%2], time.Now().UnixNano()).Encode())
+	}
+	if n := engine.TurnedAway(); n != 1 {
+		t.Errorf("the engine got %d calls in its pause, want only the one that it turned away", n)
+	}
+	engine.SetRetryAfter("")
+	sendDatagram(t, peer, noticeFor(engine, "prefill", time.Now().UnixNano()).Encode())
+	eventually(t, 5*time.Second, "ordered after its pause", func() bool { return engine.Stage() == "prefill" })
+}
