platform, gate, tend: stamps order changes over the store's eras

Cause: the store may come back from an older copy; its revisions and lease ids are then given out again.

Ruled out: era and revision as two fields everywhere; a field more in beats and notices, which released versions reject.

Change: core/stamp joins both to one number, formed and taken apart in platform alone. member.Set keeps departures over eras, plans name their era, entries register again after a fall, alerts carry era and stamp to entries that the store turns away. io/simop learns to fall back.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -22,7 +22,7 @@
 	Seq             uint64           // The sequence number, which increases with each beat of a process.
 	HasStoreWatch   bool             // The entry, or one in the zone, receives changes from the store itself.
 	ConfigVersion   int64            // The version of the configuration in force.
-	MembersRevision int64            // The revision of the newest known change of the upstream list.
+	MembersRevision int64            // The revision of the newest known change of the upstream list, without its era; see alert.Alert.
 	ShareAddr       string           // The HTTP address that serves the configuration and the upstream list.
 	PrefillWork     uint64           // Prefill work that callers request: engine milliseconds for each second.
 	Loads           []Load           // The load on each busy upstream.
--- a/core/member/set.go
+++ b/core/member/set.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"pimentoseam/core/stamp"
 )
 
 // Role is the phase of inference that a model engine runs. Decode corresponds to the role "mixed" in packages roles and
@@ -35,6 +37,14 @@
 	Slots           int
 	RemainingWarmUp time.Duration // How much longer the upstream is slow after its start.
 	Started         int64         // Start time in Unix milliseconds; 0 if the upstream doesn't report it.
+	Registrations   int64         // How often this run has registered; a copy of an older registration has a lower number.
+}
+
+// SameState reports whether u and o differ at most in the number of registrations.
+func (u *Upstream) SameState(o *Upstream) bool {
+	same := *u
+	same.Registrations = o.Registrations
+	return same == *o
 }
 
 // SameRun reports whether u and o are the same run of the same upstream, not restarted in between.
@@ -49,6 +59,12 @@
 	// removalGrace is how long a removed upstream stays in the set in case it is listed again. It is
 	// shorter than the 2 s after which the platform requires that a leaving upstream gets no new work.
 	removalGrace = 1700 * time.Millisecond
+	// departureMemory is how long the departure of a run is remembered. Upstreams that leave exit within a minute.
+	departureMemory = time.Minute
+	// copyTimeout is how long an upstream that was removed stays out after an older copy of the list has brought its
+	// registration back. A running upstream registers again within about two seconds; that of one that is gone
+	// lapses in the same time.
+	copyTimeout = 5 * time.Second
 )
 
 // Set is the membership of the platform's upstream list, tolerant of outages of the list.
@@ -57,22 +73,34 @@
 // or if more upstreams of its service were removed than remain.
 //
 // Changes may arrive repeatedly and in any order, from the list and from other entries. Each carries the
-// list's revision, and one that isn't newer than the last change of the same id is ignored.
+// list's revision as a stamp, and one that isn't newer than the last change of the same id is ignored.
+//
+// The list may also come back from an older copy, in a new era. The copy can't undo what an upstream has stated since:
+// a run that was draining stays so, and one that was removed stays out until it registers again.
 type Set struct {
 	records    map[string]*record
-	revisions  map[string]int64 // The revision of the newest change by id, including removed ids.
-	lastOutage time.Time        // The last time at which the list was unavailable.
+	departures map[string]departure // The last departure by id.
+	revisions  map[string]int64     // The revision of the newest change by id, including removed ids.
+	lastOutage time.Time            // The last time at which the list was unavailable.
 }
 
 // record is an upstream in a Set.
 type record struct {
 	upstream *Upstream
 	expires  time.Time // The end of the removal grace; zero unless the upstream was removed.
+	held     time.Time // Until then the upstream is out, because its registration may be an older copy; zero for none.
+}
+
+// departure is the last change by which a run of an upstream left.
+type departure struct {
+	upstream *Upstream
+	era      int64
+	at       time.Time
 }
 
 // New returns an empty Set.
 func New() *Set {
-	return &Set{records: make(map[string]*record), revisions: make(map[string]int64)}
+	return &Set{records: make(map[string]*record), departures: make(map[string]departure), revisions: make(map[string]int64)}
 }
 
 // Put adds or replaces an upstream; it reports whether the revision is newer than the known one.
@@ -80,10 +108,42 @@
 	if !s.advance(u.ID, revision) {
 		return false
 	}
-	s.records[u.ID] = &record{upstream: u}
+	r := &record{upstream: u}
+	if d, ok := s.departures[u.ID]; ok && d.isUndoneBy(u, revision) {
+		switch {
+		case d.upstream.State == Draining:
+			draining := *u
+			draining.State = Draining
+			r.upstream = &draining
+		case u.Registrations <= d.upstream.Registrations:
+			r.held = time.Now().Add(copyTimeout)
+		}
+	}
+	if r.upstream.State == Draining {
+		s.recordDeparture(r.upstream, revision)
+	}
+	s.records[u.ID] = r
 	return true
 }
 
+// isUndoneBy reports whether a registration in a later era shows the run that has left as ready.
+func (d departure) isUndoneBy(u *Upstream, revision int64) bool {
+	return u.State == Ready && u.SameRun(d.upstream) && stamp.Era(revision) > d.era && time.Since(d.at) < departureMemory
+}
+
+// recordDeparture records that a run leaves or was removed.
+func (s *Set) recordDeparture(u *Upstream, revision int64) {
+	for id, d := range s.departures {
+		if time.Since(d.at) >= departureMemory {
+			delete(s.departures, id)
+		}
+	}
+	if d, ok := s.departures[u.ID]; ok && d.upstream.SameRun(u) && d.upstream.State == Draining {
+		return // The first departure of the run counts, in the era in which it was stated.
+	}
+	s.departures[u.ID] = departure{upstream: u, era: stamp.Era(revision), at: time.Now()}
+}
+
 // advance records the revision of an id's change and reports whether it is newer than the known one.
 func (s *Set) advance(id string, revision int64) bool {
 	if s.revisions[id] >= revision {
@@ -109,6 +169,7 @@
 	if !s.advance(id, revision) || !ok {
 		return Ignored
 	}
+	s.recordDeparture(r.upstream, revision)
 	if r.upstream.State != Ready {
 		delete(s.records, id)
 		return Removed
@@ -124,7 +185,8 @@
 	s.lastOutage = time.Now()
 }
 
-// Expire drops the retained upstreams whose grace is over and returns their ids.
+// Expire drops the retained upstreams whose grace is over and admits those that were held long enough. It returns the
+// ids of both.
 func (s *Set) Expire() []string {
 	var expired []string
 	now := time.Now()
@@ -133,6 +195,10 @@
 			delete(s.records, id)
 			expired = append(expired, id)
 		}
+		if !r.held.IsZero() && !now.Before(r.held) {
+			r.held = time.Time{}
+			expired = append(expired, id)
+		}
 	}
 	return expired
 }
@@ -162,7 +228,7 @@
 	for _, r := range s.records {
 		u := r.upstream
 		switch {
-		case u.State != Ready:
+		case u.State != Ready || !r.held.IsZero():
 		case r.expires.IsZero():
 			usable[u.Service] = append(usable[u.Service], u)
 		default:
--- a/core/member/set_test.go
+++ b/core/member/set_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pimentoseam/core/member"
+	"pimentoseam/core/stamp"
 )
 
 func upstream(id string) *member.Upstream {
@@ -95,3 +96,63 @@
 		t.Error("an upstream that restarted under its id is not added")
 	}
 }
+
+// TestCopy has the list come back from an older copy that shows upstreams which have left since. Those that were
+// draining stay out, those that were removed stay out until they register again or 5 s are over, and a restarted one is
+// used at once.
+func TestCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registered := func(id string, started, registrations int64) *member.Upstream {
+			u := upstream(id)
+			u.Started, u.Registrations = started, registrations
+			return u
+		}
+		s := member.New()
+		s.Put(registered("draining", 1, 4), stamp.Join(1, 10))
+		s.Put(registered("removed", 1, 4), stamp.Join(1, 11))
+		s.Put(registered("restarted", 1, 4), stamp.Join(1, 12))
+		draining := registered("draining", 1, 5)
+		draining.State = member.Draining
+		s.Put(draining, stamp.Join(1, 20))
+		s.Remove("removed", stamp.Join(1, 21))
+		s.Remove("restarted", stamp.Join(1, 22))
+		time.Sleep(2 * time.Second)
+		s.Expire()
+		if usable(s) != 0 {
+			t.Fatalf("%d usable before the copy, want none", usable(s))
+		}
+		s.Put(registered("draining", 1, 4), stamp.Join(2, 10))
+		s.Put(registered("removed", 1, 4), stamp.Join(2, 11))
+		s.Put(registered("restarted", 2, 1), stamp.Join(2, 12))
+		if usable(s) != 1 {
+			t.Errorf("%d usable after the copy, want only the restarted one", usable(s))
+		}
+		s.Put(registered("removed", 1, 5), stamp.Join(2, 13))
+		s.Put(registered("draining", 1, 6), stamp.Join(2, 14))
+		if usable(s) != 2 {
+			t.Errorf("%d usable after both registered again, want the removed one, too", usable(s))
+		}
+	})
+}
+
+// TestCopyTimeout checks that an upstream that was removed and is listed by a copy only is used after 5 s, since its
+// registration would have lapsed by then.
+func TestCopyTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := member.New()
+		s.Put(upstream("a"), stamp.Join(1, 10))
+		s.Remove("a", stamp.Join(1, 11))
+		time.Sleep(2 * time.Second)
+		s.Expire()
+		s.Put(upstream("a"), stamp.Join(2, 10))
+		time.Sleep(4 * time.Second)
+		s.Expire()
+		if usable(s) != 0 {
+			t.Error("usable 4 s after the copy listed it")
+		}
+		time.Sleep(time.Second)
+		if admitted := s.Expire(); len(admitted) != 1 || usable(s) != 1 {
+			t.Errorf("5 s after the copy listed it: admitted %v, %d usable, want a", admitted, usable(s))
+		}
+	})
+}
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -11,7 +11,7 @@
 type Notice struct {
 	_             struct{} `cbor:",toarray"`
 	Service       string   // The service that the plan is for.
-	StoreRevision int64    // Store revision of the plan; receivers ignore a lower one than they have seen.
+	StoreRevision int64    // Stamp of the plan in the store; receivers ignore a lower one than they have seen.
 	Epoch         int64    // The epoch of the plan.
 	Leader        string   // The entry that leads the service.
 	Upstream      string   // The id of the engine.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -9,6 +9,7 @@
 type Plan struct {
 	Epoch    int64     `json:"epoch"`
 	Revision int64     `json:"revision"`
+	Era      int64     `json:"era,omitempty"` // The store's era in which the plan was written.
 	Leader   string    `json:"lead"`
 	Commands []Command `json:"orders"`
 }
@@ -108,6 +109,19 @@
 	return next
 }
 
+// InEra returns p as a leader takes it over in an era of the store. A plan of an earlier era is an older copy, whose
+// commands may have been replaced since: only those that fit the present roles by upstream are kept.
+func (p *Plan) InEra(era int64, roles map[string]string) *Plan {
+	next := *p
+	next.Era, next.Commands = era, nil
+	for _, c := range p.Commands {
+		if p.Era == era || roles[c.Upstream] == c.Role {
+			next.Commands = append(next.Commands, c)
+		}
+	}
+	return &next
+}
+
 // nextRevision returns a copy of p with its own slice of commands and the revision increased.
 func (p *Plan) nextRevision() *Plan {
 	next := *p
--- a/io/gate/beats.go
+++ b/io/gate/beats.go
@@ -7,6 +7,7 @@
 
 	"pimentoseam/core/beat"
 	"pimentoseam/core/cached"
+	"pimentoseam/core/stamp"
 )
 
 const (
@@ -78,7 +79,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b.MembersRevision = g.storeList.Revision
+	b.MembersRevision = stamp.Revision(g.storeList.Revision)
 	return b
 }
 
@@ -147,6 +148,14 @@
 	if forDigest {
 		g.queueForDigest(b.Prefixes)
 	}
+	g.mu.Unlock()
+	g.compareVersions(b)
+}
+
+// compareVersions compares the versions that another entry knows with this entry's, and has them fetched if they are
+// newer.
+func (g *Gate) compareVersions(b *beat.Beat) {
+	g.mu.Lock()
 	g.newest.config = max(g.newest.config, b.ConfigVersion)
 	g.newest.members = max(g.newest.members, b.MembersRevision)
 	behind := g.updateBehind()
--- a/io/gate/election.go
+++ b/io/gate/election.go
@@ -358,7 +358,11 @@
 		p = &plan.Plan{}
 	}
 	s.revision = item.Revision
-	return l.writePlan(ctx, name, s, p.NextEpoch(l.gate.settings().Name))
+	roles := make(map[string]string)
+	for _, e := range l.engines(name) {
+		roles[e.ID] = string(e.Role)
+	}
+	return l.writePlan(ctx, name, s, p.InEra(l.gate.store.Era(), roles).NextEpoch(l.gate.settings().Name))
 }
 
 // writePlan replaces the plan in the store if the lease is still valid and the plan there is unchanged.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -209,6 +209,7 @@
 // registerGauges registers the gauges of this entry's state and load.
 func (g *Gate) registerGauges() {
 	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
+	g.meter.Gauge("era", func() float64 { return float64(g.store.Era()) })
 	g.meter.Gauge("upstreams", func() float64 { return float64(len(g.snapshot.Load().byKey)) })
 	g.meter.Gauge("entries", func() float64 { return float64(g.gossip.NumEntries()) })
 	g.meter.Gauge("lead", func() float64 {
--- a/io/gate/members.go
+++ b/io/gate/members.go
@@ -5,6 +5,7 @@
 
 	"pimentoseam/core/beat"
 	"pimentoseam/core/member"
+	"pimentoseam/core/stamp"
 	"pimentoseam/io/follow"
 	"pimentoseam/platform"
 )
@@ -19,7 +20,7 @@
 // upstreamList is the upstream list as it is in the store, or the changes to it after some revision. Entries fetch it
 // from each other as CBOR under these field names.
 type upstreamList struct {
-	Revision           int64                    // Revision of the newest known change.
+	Revision           int64                    // Stamp of the newest known change; those of Items and Gone are stamps, too.
 	Whole              bool                     // Items is the complete list, not only the changes.
 	Items              map[string]platform.Item // Store items by upstream id.
 	Gone               map[string]int64         // Revisions of recent removals by upstream id.
@@ -29,6 +30,19 @@
 // maxRemovals limits the removals in Gone.
 const maxRemovals = 1000
 
+// withoutEras returns a copy with revisions in place of stamps, for entries that don't know eras.
+func (l *upstreamList) withoutEras() *upstreamList {
+	plain := &upstreamList{Revision: stamp.Revision(l.Revision), Whole: l.Whole, Items: make(map[string]platform.Item), Gone: make(map[string]int64)}
+	for id, item := range l.Items {
+		item.Revision = stamp.Revision(item.Revision)
+		plain.Items[id] = item
+	}
+	for id, revision := range l.Gone {
+		plain.Gone[id] = stamp.Revision(revision)
+	}
+	return plain
+}
+
 // changesSince returns the changes after a revision, or the whole list if removals after it are no longer known.
 func (l *upstreamList) changesSince(after int64) *upstreamList {
 	changes := &upstreamList{Revision: l.Revision, Whole: after < l.removalsKnownAfter, Items: make(map[string]platform.Item), Gone: make(map[string]int64)}
@@ -61,6 +75,11 @@
 func (g *Gate) applyMembers(u follow.Update) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if from, to := stamp.Era(g.storeList.Revision), stamp.Era(u.Revision); g.membersKnown && to > from {
+		// The copy lacks what was registered since it was made.
+		g.memberSet.RecordOutage()
+		g.log.Warn("store came back from an older copy", "from", from, "era", to, "revision", stamp.Revision(u.Revision))
+	}
 	present := make(map[string]bool, len(u.Items))
 	for _, item := range u.Items {
 		id, ok := strings.CutPrefix(item.Key, platform.MemberPrefix)
@@ -109,7 +128,7 @@
 	}
 	g.storeList.Items[id] = item
 	delete(g.storeList.Gone, id)
-	if existed && *old == *m {
+	if existed && old.SameState(m) {
 		return
 	}
 	if existed && !old.SameRun(m) {
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -43,7 +43,7 @@
 	}
 	var lease int64
 	for ctx.Err() == nil {
-		wait := entryRenewInterval
+		wait, era := entryRenewInterval, g.store.Era()
 		if lease == 0 {
 			lease, err = g.registerAndDiscover(ctx, value)
 		} else {
@@ -53,7 +53,16 @@
 			g.log.Warn("registration in store failed", "err", err)
 			lease, wait = 0, registerRetryWait
 		}
-		proc.Sleep(ctx, proc.Jitter(wait))
+		g.sleepInEra(ctx, proc.Jitter(wait), era)
+	}
+}
+
+// sleepInEra pauses for d or until the store is known to have come back from an older copy, which may lack this entry's
+// key.
+func (g *Gate) sleepInEra(ctx context.Context, d time.Duration, era int64) {
+	end := time.Now().Add(d)
+	for ctx.Err() == nil && time.Now().Before(end) && g.store.Era() == era {
+		proc.Sleep(ctx, min(proc.Jitter(registerRetryWait), time.Until(end)))
 	}
 }
 
--- a/io/gate/reply.go
+++ b/io/gate/reply.go
@@ -80,10 +80,18 @@
 	settings := g.settings()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &alert.Alert{Name: settings.Name, ShareAddr: settings.Share.String(), Leaving: g.leaving.Runs(alert.MaxLeaving)}
+	return &alert.Alert{
+		Name: settings.Name, ShareAddr: settings.Share.String(), Era: g.store.Era(), Members: g.storeList.Revision,
+		Leaving: g.leaving.Runs(alert.MaxLeaving),
+	}
 }
 
 // HandleAlert handles an alert of another entry.
 func (g gossipSource) HandleAlert(a *alert.Alert) {
 	g.recordLeaving(a.Leaving, a.Name)
+	if a.Era == 0 {
+		return // The beat states the versions.
+	}
+	g.store.ObserveEra(a.Era)
+	g.compareVersions(&beat.Beat{Name: a.Name, ShareAddr: a.ShareAddr, MembersRevision: a.Members})
 }
--- a/io/gate/sync.go
+++ b/io/gate/sync.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"pimentoseam/core/beat"
+	"pimentoseam/core/stamp"
 	"pimentoseam/io/follow"
 	"pimentoseam/io/proc"
 	"pimentoseam/platform"
@@ -19,6 +20,9 @@
 	shareTimeout  = 800 * time.Millisecond // Time limit of a fetch.
 	sharePause    = 100 * time.Millisecond // Time between fetches from other entries.
 	maxShareBytes = 16 << 20               // Maximum size of a response in bytes.
+	// stampsParam is the query parameter of an entry that knows eras. Others get revisions in place of stamps, so that
+	// they can compare them with those that they read from the store themselves.
+	stampsParam = "stamps"
 )
 
 // catchUp fetches newer configurations and upstream lists from other entries until ctx ends.
@@ -45,7 +49,7 @@
 // fetchConfig fetches the configuration from the entry that sent b and activates it.
 func (g *Gate) fetchConfig(ctx context.Context, b *beat.Beat) {
 	var item platform.Item
-	if g.fetch(ctx, b, "/config", &item) {
+	if g.fetch(ctx, b, "/config?"+stampsParam+"=1", &item) {
 		g.activate(item, b.Name)
 	}
 }
@@ -59,7 +63,7 @@
 	}
 	g.mu.Unlock()
 	var l upstreamList
-	if !g.fetch(ctx, b, "/members?after="+strconv.FormatInt(after, 10), &l) {
+	if !g.fetch(ctx, b, "/members?"+stampsParam+"=1&after="+strconv.FormatInt(after, 10), &l) {
 		return
 	}
 	u := follow.Update{IsSnapshot: l.Whole, Revision: l.Revision}
@@ -103,13 +107,17 @@
 // shareHandler serves the configuration and the upstream list to other entries.
 func (g *Gate) shareHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /config", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /config", func(w http.ResponseWriter, r *http.Request) {
 		c := g.config.Load()
 		if c == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		g.writeCBOR(w, c.item)
+		item := c.item
+		if !r.URL.Query().Has(stampsParam) {
+			item.Revision = stamp.Revision(item.Revision)
+		}
+		g.writeCBOR(w, item)
 	})
 	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
@@ -117,8 +125,15 @@
 			after = 0 // The whole list.
 		}
 		g.mu.Lock()
+		plain := !r.URL.Query().Has(stampsParam)
+		if plain {
+			after = stamp.Join(stamp.Era(g.storeList.Revision), after)
+		}
 		known, changes := g.membersKnown, g.storeList.changesSince(after)
 		g.mu.Unlock()
+		if plain {
+			changes = changes.withoutEras()
+		}
 		if !known {
 			w.WriteHeader(http.StatusNotFound)
 			return
--- a/io/simop/store.go
+++ b/io/simop/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -48,6 +49,15 @@
 	history   []item                // Changes since the compacted revision, oldest first.
 	leases    map[int64]*time.Timer // Expiry timers by lease ID.
 	calls     map[string]int        // Number of calls by path.
+	era       int64                 // Number of returns from an older copy, sent with all responses.
+	copied    *storeCopy            // The copy that FallBack returns to; nil for none.
+}
+
+// storeCopy is a copy of the store's state.
+type storeCopy struct {
+	revision int64
+	items    map[string]item
+	leases   map[int64]bool
 }
 
 // NewStore starts and returns an empty Store.
@@ -80,6 +90,46 @@
 	s.notify()
 }
 
+// SetEra sets the era that the store states.
+func (s *Store) SetEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// TakeCopy makes a copy of the present state for FallBack.
+func (s *Store) TakeCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &storeCopy{revision: s.revision, items: maps.Clone(s.items), leases: make(map[int64]bool)}
+	for id := range s.leases {
+		c.leases[id] = true
+	}
+	s.copied = c
+}
+
+// FallBack returns to the last copy and begins the next era. What was written since the copy is lost, the leases too,
+// and revisions and lease IDs are given out again.
+func (s *Store) FallBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, timer := range s.leases {
+		if !s.copied.leases[id] {
+			timer.Stop()
+			delete(s.leases, id)
+		}
+	}
+	s.items, s.revision = maps.Clone(s.copied.items), s.copied.revision
+	for key, it := range s.items {
+		if it.Lease != 0 && s.leases[it.Lease] == nil {
+			delete(s.items, key) // The lease has ended since the copy was made.
+		}
+	}
+	s.history, s.compacted = nil, s.revision
+	s.era++
+	s.notify()
+}
+
 // Calls returns the number of calls to a path, rejected ones included.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -157,6 +207,7 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	mode := s.mode
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	switch {
 	case mode == Refusing:
@@ -223,6 +274,7 @@
 	for {
 		s.mu.Lock()
 		mode, compacted, current, changed := s.mode, s.compacted, s.revision, s.changed
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		events := []item{}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
@@ -230,7 +282,7 @@
 			}
 		}
 		s.mu.Unlock()
-		if after < compacted {
+		if after < compacted || after > current {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -15,6 +15,7 @@
 	"pimentoseam/core/notice"
 	"pimentoseam/core/plan"
 	"pimentoseam/core/setup"
+	"pimentoseam/core/stamp"
 	"pimentoseam/io/client"
 	"pimentoseam/io/logbuf"
 	"pimentoseam/io/meter"
@@ -194,6 +195,11 @@
 		t.log.Error("invalid plan", "revision", item.Revision, "err", err)
 		return
 	}
+	if p.Era < stamp.Era(item.Revision) {
+		// The commands may have been replaced before the store came back; the leader will write the plan again.
+		t.log.Info("plan of an earlier era not followed", "revision", item.Revision, "era", p.Era)
+		return
+	}
 	for _, c := range p.Commands {
 		if c.Addr == t.settings.Engine.String() {
 			t.update(c, true, item.Revision, p.Epoch, p.Leader)
--- a/io/tend/tend_test.go
+++ b/io/tend/tend_test.go
@@ -11,6 +11,7 @@
 	"pimentoseam/core/notice"
 	"pimentoseam/core/plan"
 	"pimentoseam/core/setup"
+	"pimentoseam/core/stamp"
 	"pimentoseam/io/simop"
 	"pimentoseam/io/tend"
 )
@@ -215,3 +216,47 @@
 	sendDatagram(t, peer, noticeFor(engine, "prefill", time.Now().UnixNano()).Encode())
 	eventually(t, 5*time.Second, "ordered after its pause", func() bool { return engine.Stage() == "prefill" })
 }
+
+// TestTokensOverEras checks that the fencing tokens of orders rise when the store comes back from a copy and its
+// revisions sink, that a notice of the leader before is then ignored, and that a plan which the copy has brought back is
+// not followed until a leader of the present era has written it.
+func TestTokensOverEras(t *testing.T) {
+	store, engine := simop.NewStore(), simop.NewReplica("i-1", "lm", "decode")
+	t.Cleanup(store.Close)
+	t.Cleanup(engine.Close)
+	store.SetEra(2)
+	peer := startAgent(t, store, engine)
+	follow := func(role string, st int64) {
+		t.Helper()
+		eventually(t, 5*time.Second, role, func() bool {
+			sendDatagram(t, peer, noticeFor(engine, role, st).Encode())
+			return engine.Stage() == role
+		})
+	}
+	follow("prefill", stamp.Join(1, 50))
+	follow("decode", stamp.Join(2, 7))
+	for range 15 {
+		sendDatagram(t, peer, noticeFor(engine, "prefill", stamp.Join(1, 60)).Encode())
+		time.Sleep(100 * time.Millisecond)
+	}
+	if role := engine.Stage(); role != "decode" {
+		t.Errorf("role %s by a notice of an earlier era, want decode", role)
+	}
+	for range 20 { // Revisions above that of the last notice.
+		store.Put("plan/lm", planFor(engine, "prefill"))
+	}
+	time.Sleep(4 * noticeTimeout)
+	if role := engine.Stage(); role != "decode" {
+		t.Errorf("role %s by a plan of an earlier era, want decode", role)
+	}
+	p, err := plan.Parse(planFor(engine, "prefill"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Era = 2
+	store.Put("plan/lm", p.Encode())
+	eventually(t, 5*time.Second, "prefill", func() bool { return engine.Stage() == "prefill" })
+	if tokens := engine.OrderTokens(); !slices.IsSorted(tokens) || len(tokens) != 3 {
+		t.Errorf("tokens %v, want three that rise", tokens)
+	}
+}
