gate, front, client: no short, joined or foreign answer looks whole

Change: only a stream continues a stream; what has begun and is no stream is never sent again; a response that ends with its connection in mid-event is broken; aborted answers to HTTP/1.0 are reset; a response without an id counts on a new connection only. The stand-in's replicas echo the id in refusals as well, as the platform's do; TestRepeats and TestDecodeRejected had relied on its absence.

Before: TestBrokenStream 7 of 15, TestBrokenAnswer, TestBrokenHTTP10 and TestLateCopy 2 of 7 failed. After: all pass, TestTooLargeAnswer too.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -76,7 +76,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(response.StatusCode, response.Header) {
+		if r.Matches == nil || r.Matches(response.StatusCode, response.Header, c.reused) {
 			return response, nil
 		}
 		stale++
@@ -132,6 +132,12 @@
 	r.pool.putIdle(r.conn, r.Header)
 }
 
+// EndsWithConnection reports whether the body has no length of its own, so that its end can't be told from a failure
+// of the upstream that closes the connection.
+func (r *Response) EndsWithConnection() bool {
+	return !r.isDelimited()
+}
+
 // isDelimited reports whether the body ends by Content-Length or chunked encoding and not by connection close.
 func (r *Response) isDelimited() bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -93,8 +93,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to this request; nil accepts every response.
-	Matches func(status int, h http.Header) bool
+	// Matches reports whether a response belongs to this request; nil accepts every response. reused tells that the
+	// connection carried another request before, to which the response may belong.
+	Matches func(status int, h http.Header, reused bool) bool
 }
 
 // Pool is a pool of connections to upstreams.
@@ -133,6 +134,7 @@
 	reader      *bufio.Reader
 	expires     time.Time  // Time from which an idle connection isn't reused.
 	bodyWritten chan error // Result of writing a long body; nil without one.
+	reused      bool       // It has carried a request before the present one.
 }
 
 // Do sends a request and returns when the response head has arrived. limit is the maximum of open
@@ -177,6 +179,7 @@
 			break
 		}
 		if c.isReusable() {
+			c.reused = true
 			return c, nil
 		}
 		p.discard(c)
--- a/io/client/pool_test.go
+++ b/io/client/pool_test.go
@@ -61,7 +61,7 @@
 func request(id string) *client.Request {
 	return &client.Request{
 		Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -57,7 +57,8 @@
 type outcome struct {
 	fault       *fault.Error
 	safeToRetry bool // Another attempt is safe and free of the retry budget; a key has a tombstone at the agent.
-	callerGone  bool // The caller has disconnected, or the sink failed.
+	callerGone  bool // The caller has disconnected.
+	isFinal     bool // No other attempt is made.
 	mayStillRun bool // The upstream may still be running the request or an earlier one with its key; a new link may help.
 }
 
@@ -139,7 +140,7 @@
 // mayRetry reports whether another attempt is permitted after the given outcome. After an outcome that is
 // safeToRetry it takes nothing from the retry budget.
 func (q *request) mayRetry(result outcome) bool {
-	if q.sink.hasDelivered() || result.fault.Kind == fault.Invalid || int(q.attemptNum) >= maxAttempts {
+	if result.isFinal || q.sink.hasDelivered() || result.fault.Kind == fault.Invalid || int(q.attemptNum) >= maxAttempts {
 		return false
 	}
 	if time.Until(q.deadline) < minRetryTime {
--- a/io/entry/sink.go
+++ b/io/entry/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -78,6 +79,16 @@
 	return "the answer is too large"
 }
 
+// sinkOutcome returns the outcome of an attempt whose answer a sink could not take. An answer that is too large is a
+// failure that the caller is told of, and no other attempt would have a smaller one.
+func sinkOutcome(err error) *outcome {
+	tooLarge := new(tooLargeError)
+	if errors.As(err, &tooLarge) {
+		return &outcome{fault: fault.New(fault.Failed, tooLarge.Error()), isFinal: true}
+	}
+	return &outcome{callerGone: true}
+}
+
 func (s *bufferSink) writeHeader(status int, contentType string) {
 	s.status, s.contentType = status, contentType
 }
--- a/io/entry/transfer.go
+++ b/io/entry/transfer.go
@@ -154,7 +154,7 @@
 	t.received += int64(len(m.Data))
 	if err := t.request.sink.write(m.Data); err != nil {
 		t.cancel()
-		return &outcome{callerGone: true}
+		return sinkOutcome(err)
 	}
 	if t.received-t.acknowledged >= ackBytes {
 		t.acknowledged = t.received
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -61,6 +61,15 @@
 	c.handling, c.headStarted = handling, false
 }
 
+// resetUnlessChunked makes the close of the connection after an aborted response a reset for a caller that speaks
+// HTTP/1.0, to which an ordinary close would mark the end of the body. Others see that the last chunk is missing, and a
+// reset could take from them what they haven't read yet.
+func (c *recordingConn) resetUnlessChunked(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0) // It fails only on a closed connection.
+	}
+}
+
 // hasAmbiguousLength reports whether a request with chunked encoding also has a Content-Length header. It
 // searches the recorded bytes for a head that starts with the request's first line and has both headers.
 func (c *recordingConn) hasAmbiguousLength(r *http.Request) bool {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -90,6 +90,12 @@
 	if c, ok := r.Context().Value(connKey{}).(*recordingConn); ok {
 		c.setHandling(true)
 		defer c.setHandling(false)
+		defer func() {
+			if p := recover(); p != nil {
+				c.resetUnlessChunked(r)
+				panic(p)
+			}
+		}()
 	}
 	s.handler.ServeHTTP(w, r)
 }
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -172,6 +172,9 @@
 	case notRun:
 		return x.rejections < maxRejections
 	case maybeRun:
+		if x.headSent && x.route.Kind != route.Stream {
+			return false // Only a stream can be continued.
+		}
 		return x.route.IsRepeatable() && x.possibleRuns < x.route.MaxAttempts
 	}
 	return false
@@ -251,10 +254,16 @@
 	return resp, done
 }
 
-// matches reports whether a response belongs to this request. An error response without an id is accepted.
-func (x *exchange) matches(status int, h http.Header) bool {
+// matches reports whether a response belongs to this request. An error response without an id is accepted on a new
+// connection; on a reused one it may be a late copy of the response to an earlier request.
+func (x *exchange) matches(status int, h http.Header, reused bool) bool {
 	id := platform.ReadReply(status, h).ID
-	return id == x.call.ID || (id == "" && status >= http.StatusBadRequest)
+	if id == x.call.ID {
+		return true
+	}
+	x.gate.meter.Count("response of another request")
+	x.gate.log.Warn("response of another request", "id", x.call.ID, "upstream", x.lastUpstream, "from", id, "status", status, "reused", reused)
+	return id == "" && status >= http.StatusBadRequest && !reused
 }
 
 // discardBody reads the rest of a small response, so that its connection can be reused.
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -20,9 +20,21 @@
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
 		return x.relayStream(ctx, u, resp)
 	}
+	if x.headSent {
+		return x.rejectContinuation(u, resp)
+	}
 	return x.relayBody(ctx, u, resp)
 }
 
+// rejectContinuation handles a response that can't continue the stream of which the caller has a part: its body would
+// end the stream as if that were complete.
+func (x *exchange) rejectContinuation(u *upstream, resp *client.Response) result {
+	x.possibleRuns++
+	u.breaker.Failure()
+	x.gate.log.Warn("stream not continued", "id", x.call.ID, "upstream", u.info.Load().ID, "status", resp.StatusCode, "events", x.events)
+	return maybeRun
+}
+
 // relayBody relays a response that is not a stream. It sends nothing to the caller before the first
 // responseBufferSize bytes have arrived. A successful response must have the seal, a header that only the upstream
 // itself sets; see call.Reply.
@@ -132,7 +144,11 @@
 		pending = append(pending, buffer[:n]...)
 		complete := completeEventsLen(pending)
 		if errors.Is(err, io.EOF) {
-			complete = len(pending)
+			if resp.EndsWithConnection() && complete < len(pending) {
+				err = io.ErrUnexpectedEOF // An upstream that fails closes its connection like one that has finished.
+			} else {
+				complete = len(pending)
+			}
 		}
 		if complete > 0 {
 			if !x.headSent {
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -208,6 +208,9 @@
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if id := req.Header.Get("X-Attempt-Id"); id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
 	switch {
 	case retryAfter != "":
 		w.Header().Set("X-Not-Executed", "1")
