platform: lease ids are opaque; logbuf: lines after Close are lost

The stand-in's ids were small, so no test saw it.

Change: platform.Lease keeps id and era apart. The stand-in's ids are large now; with them TestLeaseOverEras and TestLeaderOverEras failed.

TestLogAfterClose panicked before and passes.

--- a/io/gate/election.go
+++ b/io/gate/election.go
@@ -47,7 +47,7 @@
 // that allows this entry to write the plans, or tries to acquire it.
 type election struct {
 	gate  *Gate
-	lease int64 // Id of the lease; 0 if this entry doesn't hold it.
+	lease platform.Lease // Not valid if this entry doesn't hold it.
 
 	mu           sync.Mutex
 	leaseEnd     time.Time // The lease can't expire in the store before this time.
@@ -74,16 +74,16 @@
 // run leads, or tries to become the leader, until ctx ends. Then it revokes its lease.
 func (l *election) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if l.lease == 0 {
+		if !l.lease.IsValid() {
 			l.campaign(ctx)
 		}
-		if l.lease == 0 {
+		if !l.lease.IsValid() {
 			proc.Sleep(ctx, proc.Jitter(standbyInterval*time.Duration(l.gate.gossip.NumEntries())))
 			continue
 		}
 		l.lead(ctx)
 	}
-	if l.lease != 0 {
+	if l.lease.IsValid() {
 		revokeCtx, cancel := context.WithTimeout(context.Background(), renewInterval)
 		defer cancel()
 		if err := l.gate.store.Revoke(revokeCtx, l.lease); err != nil {
@@ -113,7 +113,7 @@
 	l.mu.Lock()
 	l.leaseEnd, l.plans = began.Add(ttl), make(map[string]*servicePlan)
 	l.mu.Unlock()
-	l.gate.log.Info("leadership gained", "lease", lease)
+	l.gate.log.Info("leadership gained", "lease", lease.ID, "era", lease.Era)
 }
 
 // lead renews the lease and updates the plans until the lease is lost or ctx ends.
@@ -153,7 +153,7 @@
 
 // loseLease clears the lease and the role changes in progress after the loss of the lease.
 func (l *election) loseLease(reason string) {
-	l.lease = 0
+	l.lease = platform.Lease{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leaseEnd = time.Time{}
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -41,17 +41,17 @@
 	if err != nil {
 		panic(err) // an address and a name always encode
 	}
-	var lease int64
+	var lease platform.Lease
 	for ctx.Err() == nil {
 		wait, era := entryRenewInterval, g.store.Era()
-		if lease == 0 {
+		if !lease.IsValid() {
 			lease, err = g.registerAndDiscover(ctx, value)
 		} else {
 			err = g.store.Renew(ctx, lease)
 		}
 		if err != nil {
 			g.log.Warn("registration in store failed", "err", err)
-			lease, wait = 0, registerRetryWait
+			lease, wait = platform.Lease{}, registerRetryWait
 		}
 		g.sleepInEra(ctx, proc.Jitter(wait), era)
 	}
@@ -67,18 +67,18 @@
 }
 
 // registerAndDiscover writes this entry's key under a new lease and adds the other entries in the store to the gossip.
-func (g *Gate) registerAndDiscover(ctx context.Context, value []byte) (int64, error) {
+func (g *Gate) registerAndDiscover(ctx context.Context, value []byte) (platform.Lease, error) {
 	lease, _, err := g.store.Grant(ctx, entryTTL)
 	if err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	put := platform.Put{Key: entryPrefix + g.settings().Name, Value: value, Lease: lease}
 	if _, _, err := g.store.Commit(ctx, nil, []platform.Put{put}, nil); err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	page, err := g.store.ReadAll(ctx, entryPrefix, false)
 	if err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	for _, item := range page.Items {
 		var p entryRecord
--- a/io/logbuf/handler.go
+++ b/io/logbuf/handler.go
@@ -29,8 +29,9 @@
 
 // queueWriter is the io.Writer of the text handler; it queues each line for flushLoop.
 type queueWriter struct {
-	queue chan []byte
-	done  chan struct{}
+	queue   chan []byte
+	closing chan struct{} // Closed by Close; lines that are queued later are lost.
+	done    chan struct{} // Closed when the lines queued before are written.
 
 	mu      sync.Mutex
 	second  int64          // Unix time in seconds to which counts applies.
@@ -40,7 +41,7 @@
 
 // New returns a Handler that writes to w until Close.
 func New(w io.Writer) *Handler {
-	q := &queueWriter{queue: make(chan []byte, maxQueuedLines), done: make(chan struct{}), counts: make(map[string]int)}
+	q := &queueWriter{queue: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{}), counts: make(map[string]int)}
 	go q.flushLoop(w)
 	return &Handler{Handler: slog.NewTextHandler(q, nil), out: q}
 }
@@ -57,24 +58,34 @@
 	return len(line), nil
 }
 
-// flushLoop writes queued lines to w in batches until the queue is closed.
+// flushLoop writes queued lines to w in batches until Close, then those that are left.
 func (q *queueWriter) flushLoop(w io.Writer) {
 	defer close(q.done)
 	var batch []byte
-	for line := range q.queue {
-		batch = append(batch[:0], line...)
+	for {
+		select {
+		case line := <-q.queue:
+			batch = append(batch[:0], line...)
+		case <-q.closing:
+			for len(q.queue) > 0 {
+				q.writeBatch(w, nil)
+			}
+			return
+		}
 		if len(q.queue) == 0 {
 			time.Sleep(flushInterval)
 		}
-		for len(batch) < maxWriteSize && len(q.queue) > 0 {
-			next, ok := <-q.queue
-			if !ok {
-				break
-			}
-			batch = append(batch, next...)
-		}
-		_, _ = w.Write(batch) // A failed write can't be reported anywhere else.
+		batch = q.writeBatch(w, batch)
+	}
+}
+
+// writeBatch writes batch with queued lines appended, as far as they fit, and returns its buffer.
+func (q *queueWriter) writeBatch(w io.Writer, batch []byte) []byte {
+	for len(batch) < maxWriteSize && len(q.queue) > 0 {
+		batch = append(batch, <-q.queue...)
 	}
+	_, _ = w.Write(batch) // A failed write can't be reported anywhere else.
+	return batch
 }
 
 // Handle formats and queues the record unless its message has reached the rate limit in the current second. The next
@@ -112,8 +123,8 @@
 	return &Handler{Handler: h.Handler.WithGroup(name), out: h.out}
 }
 
-// Close writes the queued lines and stops the Handler; nothing may be logged after it.
+// Close writes the queued lines and stops the Handler. Lines that other goroutines log later are lost.
 func (h *Handler) Close() {
-	close(h.out.queue)
+	close(h.out.closing)
 	<-h.out.done
 }
--- a/io/logbuf/handler_test.go
+++ b/io/logbuf/handler_test.go
@@ -72,3 +72,19 @@
 		t.Error("the rare line is missing")
 	}
 }
+
+// TestLogAfterClose checks that lines queued before Close are written, and that goroutines which still log while a
+// process ends don't make it panic.
+func TestLogAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	h := logbuf.New(&out)
+	log := slog.New(h)
+	for i := range 100 {
+		log.Info("before", "n", i)
+	}
+	h.Close()
+	log.Info("after")
+	if n := strings.Count(out.String(), "msg=before"); n != 100 {
+		t.Errorf("%d lines written, want 100", n)
+	}
+}
--- a/io/simop/store.go
+++ b/io/simop/store.go
@@ -351,6 +351,9 @@
 	writeJSON(w, item{Revision: s.revision})
 }
 
+// leaseIDBase makes lease IDs large, as those of the platform are.
+const leaseIDBase = 0x51_0000_0000_0000
+
 type leaseBody struct {
 	Lease int64 `json:"lease,omitempty"`
 	TTLMs int64 `json:"ttlMs"`
@@ -365,7 +368,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	id, ttl := s.revision, time.Duration(body.TTLMs)*time.Millisecond
+	id, ttl := leaseIDBase+s.revision, time.Duration(body.TTLMs)*time.Millisecond
 	s.leases[id] = time.AfterFunc(ttl, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
