pace, place: learn the engines' speeds, price copies of cached parts

Cause: placing assumed one kind of engine. And any engine with a shorter queue got a copy of a shared part: copies displaced other parts, which were read again.

Change: core/pace learns for each engine the factor by which it is slower than the model, a low quantile of the last samples from prompts that found no queue, the service's median where little is known; entries of a zone tell each other samples by alerts. A copy costs what reading as many tokens costs.

--- a/core/alert/alert.go
+++ b/core/alert/alert.go
@@ -17,11 +17,22 @@
 	Era       int64       `cbor:"3,keyasint,omitempty"` // The newest known era of the store.
 	Members   int64       `cbor:"4,keyasint,omitempty"` // The stamp of the newest known change of the upstream list.
 	Leaving   []leave.Run `cbor:"5,keyasint,omitempty"` // The upstreams that have stated that they leave.
+	Paces     []Pace      `cbor:"6,keyasint,omitempty"` // Speeds of engines that this entry has seen since its last alert.
+}
+
+// MaxPaces is the maximum number of paces in an alert.
+const MaxPaces = 100
+
+// Pace is how long an engine took for one prompt.
+type Pace struct {
+	_       struct{} `cbor:",toarray"`
+	Key     uint32   // The key of the upstream.
+	Percent uint32   // The time in hundredths of what the model of an engine says.
 }
 
 // IsEmpty reports whether a states nothing that a beat doesn't.
 func (a *Alert) IsEmpty() bool {
-	return a.Era == 0 && len(a.Leaving) == 0
+	return a.Era == 0 && len(a.Leaving) == 0 && len(a.Paces) == 0
 }
 
 // BadAlert reports a datagram that can't be decoded as an Alert.
--- a/core/alert/alert_test.go
+++ b/core/alert/alert_test.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// goldenPaces is an alert with the speeds of engines as released versions encode it.
+const goldenPaces = "a30161650260068182071882"
+
+// TestGoldenPaces is TestGolden for the speeds of engines.
+func TestGoldenPaces(t *testing.T) {
+	want := &alert.Alert{Name: "e", Paces: []alert.Pace{{Key: 7, Percent: 130}}}
+	if encoded := hex.EncodeToString(want.Encode()); encoded != goldenPaces {
+		t.Errorf("got encoding %s, want %s", encoded, goldenPaces)
+	}
+}
+
 // TestUnknownField checks that an alert of a later version, with a field that this one doesn't know, decodes.
 func TestUnknownField(t *testing.T) {
 	data, err := cbor.Marshal(map[int]any{1: "e", 3: 4, 99: "new"})
--- /dev/null
+++ b/core/pace/meter.go
@@ -0,0 +1,119 @@
+package pace
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxSamples is the number of samples of an engine that count. An engine that turns slow is known as such after
+	// the greater part of quantile of them.
+	maxSamples = 9
+	// minSamples is the number of samples from which an engine's own factor counts.
+	minSamples = 3
+	// quantile of the samples is the factor. Samples are too high where a queue was not known or a part that was
+	// taken for cached was not, and too low where a part was cached unknown; the former is more frequent.
+	quantile = 0.35
+	// sampleTTL is how long a sample counts. An engine that was slow gets few requests, so that it counts as an
+	// ordinary one again after this time and is tried.
+	sampleTTL = 15 * time.Second
+	// minFactor and maxFactor limit a factor.
+	minFactor, maxFactor = 0.25, 16.0
+	// factorTTL is how long the median factor is used before it is computed again.
+	factorTTL = 500 * time.Millisecond
+)
+
+// Meter learns the factor by which each engine is slower than the model of an engine. It is safe for concurrent use.
+type Meter struct {
+	mu       sync.Mutex
+	engines  map[uint32][]sample
+	median   float64 // Of the engines' own factors.
+	medianAt time.Time
+}
+
+type sample struct {
+	ratio float64
+	at    time.Time
+}
+
+// New returns a Meter without samples.
+func New() *Meter {
+	return &Meter{engines: make(map[uint32][]sample), median: 1}
+}
+
+// Observe records that an engine took ratio times as long for a prompt as the model says.
+func (m *Meter) Observe(engine uint32, ratio float64) {
+	if !(ratio > 0) { // Also false for NaN.
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	samples := recent(append(m.engines[engine], sample{ratio: min(max(ratio, minFactor), maxFactor), at: now}), now)
+	m.engines[engine] = samples[max(0, len(samples)-maxSamples):]
+}
+
+// Factor returns the factor of an engine; that of the median engine if too little is known of this one, and 1 if
+// nothing is known of any.
+func (m *Meter) Factor(engine uint32) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if f, ok := ownFactor(m.engines[engine], now); ok {
+		return f
+	}
+	return m.medianFactor(now)
+}
+
+// Median returns the factor of the median engine, 1 if nothing is known.
+func (m *Meter) Median() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.medianFactor(time.Now())
+}
+
+// medianFactor is Median; the lock must be held. A median stays until others are known.
+func (m *Meter) medianFactor(now time.Time) float64 {
+	if now.Sub(m.medianAt) < factorTTL {
+		return m.median
+	}
+	m.medianAt = now
+	var factors []float64
+	for engine, samples := range m.engines {
+		if len(recent(samples, now)) == 0 {
+			delete(m.engines, engine)
+			continue
+		}
+		if f, ok := ownFactor(samples, now); ok {
+			factors = append(factors, f)
+		}
+	}
+	if len(factors) > 0 {
+		slices.Sort(factors)
+		m.median = factors[len(factors)/2]
+	}
+	return m.median
+}
+
+// ownFactor returns the factor that an engine's samples show, and false if there are too few.
+func ownFactor(samples []sample, now time.Time) (float64, bool) {
+	samples = recent(samples, now)
+	if len(samples) < minSamples {
+		return 0, false
+	}
+	ratios := make([]float64, len(samples))
+	for i, s := range samples {
+		ratios[i] = s.ratio
+	}
+	slices.Sort(ratios)
+	return ratios[int(quantile*float64(len(ratios)))], true
+}
+
+// recent returns the samples that still count; they are in order of time.
+func recent(samples []sample, now time.Time) []sample {
+	for len(samples) > 0 && now.Sub(samples[0].at) >= sampleTTL {
+		samples = samples[1:]
+	}
+	return samples
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -20,6 +20,12 @@
 	Capacity           int           // KV cache size in tokens; 0 if unlimited.
 	Cached             int           // Leading tokens of the prompt in its KV cache.
 	CachedAfterBacklog int           // The same once the backlog is processed; the larger of the two counts.
+	Slowness           float64       // Factor by which it is slower than the Speed says; 0 stands for 1.
+}
+
+// held returns the leading tokens of the prompt that it has cached once its backlog is processed.
+func (e *Engine) held() int {
+	return max(e.Cached, e.CachedAfterBacklog)
 }
 
 // Job is a request for a model.
@@ -63,6 +69,10 @@
 	// crossZoneCost is the cost of crossing availability zones in addition to the transfer time. It keeps
 	// requests in their zone until its queues are clearly longer than those of other zones.
 	crossZoneCost = 40 * time.Millisecond
+	// copyWeight is the cost of a token that an engine would copy although another engine of its role has it cached,
+	// in multiples of the time to process a token. The copy displaces as many other tokens, each of which is soon
+	// processed again on a loaded fleet: the copies of a few parts push the others out of all engines.
+	copyWeight = 1.0
 	// minFetchTokens is the number of tokens from which a fetch is faster than processing them again.
 	minFetchTokens = 64
 	// freeMemoryFactor is the free KV cache, in multiples of the request's size, below which an engine counts as
@@ -102,6 +112,7 @@
 	for _, e := range engines {
 		c := p.prefillChoice(job, e, cacheSource(engines, e))
 		cost := time.Duration(prefillWeight*float64(c.PrefillTime)) + zoneCost(e.Zone, job.Zone) + jitter()
+		cost += p.speed.copyCost(max(0, mostHeld(engines, e.PrefillOnly)-e.held()))
 		if e.PrefillOnly {
 			c.Prefill, c.Decode = e, decoder
 			c.Delay += p.speed.TransferTime(job.PromptTokens, job.TokenBytes, job.LinkMbps, e.Zone != decoder.Zone) + p.speed.RoundTrip + p.speed.StepTime
@@ -129,10 +140,21 @@
 	return e
 }
 
+// mostHeld returns the most tokens of the prompt that an engine of a role has cached once its backlog is processed.
+func mostHeld(engines []*Engine, prefillOnly bool) int {
+	most := 0
+	for _, e := range engines {
+		if e.PrefillOnly == prefillOnly {
+			most = max(most, e.held())
+		}
+	}
+	return most
+}
+
 // prefillChoice estimates the processing of the prompt on e. It sets FetchFrom and the times. Delay does not
 // include the transfer to a decode engine, the first decode step, the slot wait and saturatedCost yet.
 func (p *Placer) prefillChoice(job *Job, e, source *Engine) Choice {
-	cached, fetch := max(e.Cached, e.CachedAfterBacklog), time.Duration(0)
+	cached, fetch := e.held(), time.Duration(0)
 	c := Choice{}
 	if source != nil && source != e && source.Cached-cached >= minFetchTokens {
 		c.FetchFrom = source
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -143,3 +143,45 @@
 		})
 	}
 }
+
+// TestCopyCost places prompts whose shared part one of two prefill engines has cached. The other engine may copy the
+// part only if the wait at the first is longer than the copy is worth, since a copy displaces as much of other prompts.
+func TestCopyCost(t *testing.T) {
+	for _, test := range []struct {
+		backlog time.Duration
+		want    string
+	}{{0, "holder"}, {150 * time.Millisecond, "holder"}, {600 * time.Millisecond, "other"}} {
+		holder := prefill("holder")
+		holder.Cached, holder.Backlog = 13000, test.backlog
+		choice, ok := place.New().Choose(job(16000), []*place.Engine{holder, prefill("other"), decode("d")})
+		if !ok || choice.Prefill == nil || choice.Prefill.ID != test.want {
+			t.Errorf("backlog %v: prompt at %+v, want %s", test.backlog, choice.Prefill, test.want)
+		}
+	}
+}
+
+// TestSlowness checks that a slow engine is given a prompt only if the others have more work ahead than it loses, and
+// that the estimate of its time follows its speed.
+func TestSlowness(t *testing.T) {
+	slow, other := prefill("slow"), prefill("other")
+	slow.Slowness = 3
+	choose := func() place.Choice {
+		c, ok := place.New().Choose(job(12000), []*place.Engine{slow, other, decode("d")})
+		if !ok || c.Prefill == nil {
+			t.Fatalf("got %+v, want a prefill engine", c)
+		}
+		return c
+	}
+	usual := choose()
+	if usual.Prefill.ID != "other" {
+		t.Errorf("both idle: prompt at %s, want the other engine", usual.Prefill.ID)
+	}
+	other.Backlog = 2 * time.Second
+	c := choose()
+	if c.Prefill.ID != "slow" {
+		t.Errorf("other busy for 2s: prompt at %s, want the slow engine", c.Prefill.ID)
+	}
+	if ratio := float64(c.PrefillTime) / float64(usual.PrefillTime); ratio < 2.9 || ratio > 3.1 {
+		t.Errorf("time at the slow engine is %.2f times the usual, want 3", ratio)
+	}
+}
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -44,7 +44,16 @@
 	if !e.PrefillOnly {
 		step += time.Duration(e.Running.Requests) * s.RequestStepTime
 	}
-	return time.Duration(work + float64(steps)*float64(step))
+	slowness := 1.0
+	if e.Slowness > 0 {
+		slowness = e.Slowness
+	}
+	return time.Duration(slowness * (work + float64(steps)*float64(step)))
+}
+
+// copyCost returns the cost of copying tokens that another engine has cached; see copyWeight.
+func (s *Speed) copyCost(tokens int) time.Duration {
+	return time.Duration(copyWeight * float64(tokens) / s.PrefillRate * float64(time.Millisecond))
 }
 
 // TransferTime returns how long the KV cache of some tokens takes from one engine to another. Between
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -12,11 +12,13 @@
 	"sync/atomic"
 	"time"
 
+	"pimentoseam/core/alert"
 	"pimentoseam/core/beat"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/cached"
 	"pimentoseam/core/leave"
 	"pimentoseam/core/member"
+	"pimentoseam/core/pace"
 	"pimentoseam/core/place"
 	"pimentoseam/core/setup"
 	"pimentoseam/io/client"
@@ -52,6 +54,7 @@
 	store         *platform.Store
 	pool          *client.Pool
 	placer        *place.Placer
+	paces         *pace.Meter
 	cached        *cached.Map
 	meter         *meter.Meter
 	gossip        *gossip.Gossip
@@ -78,6 +81,7 @@
 	membersKnown   bool                // The upstream list has been read.
 	leaving        *leave.Set          // The upstreams that have stated that they leave.
 	beatPrefixes   []beat.CachedPrefix // Prefixes for the next beat.
+	alertPaces     []alert.Pace        // Speeds of engines for the next alert.
 	digestPrefixes []beat.CachedPrefix // Prefixes for the next digest of the zone.
 	newest         peerVersions
 	upstreamStates map[string]*upstream // This gate's state for each upstream, by id.
@@ -111,7 +115,7 @@
 	logHandler := logbuf.New(o.out)
 	g := &Gate{
 		file: o.file, logHandler: logHandler, log: slog.New(logHandler).With("process", settings.Name),
-		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), cached: cached.New(), meter: meter.New(),
+		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), paces: pace.New(), cached: cached.New(), meter: meter.New(),
 		memberSet: member.New(), leaving: leave.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
 		storeList: upstreamList{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		started:   time.Now(), newerBeats: make(chan *beat.Beat, 1),
@@ -209,6 +213,7 @@
 // registerGauges registers the gauges of this entry's state and load.
 func (g *Gate) registerGauges() {
 	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
+	g.meter.Gauge("slowness", g.paces.Median)
 	g.meter.Gauge("era", func() float64 { return float64(g.store.Era()) })
 	g.meter.Gauge("upstreams", func() float64 { return float64(len(g.snapshot.Load().byKey)) })
 	g.meter.Gauge("entries", func() float64 { return float64(g.gossip.NumEntries()) })
--- a/io/gate/reply.go
+++ b/io/gate/reply.go
@@ -80,8 +80,10 @@
 	settings := g.settings()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	paces := g.alertPaces
+	g.alertPaces = nil
 	return &alert.Alert{
-		Name: settings.Name, ShareAddr: settings.Share.String(), Era: g.store.Era(), Members: g.storeList.Revision,
+		Paces: paces, Name: settings.Name, ShareAddr: settings.Share.String(), Era: g.store.Era(), Members: g.storeList.Revision,
 		Leaving: g.leaving.Runs(alert.MaxLeaving),
 	}
 }
@@ -89,6 +91,9 @@
 // HandleAlert handles an alert of another entry.
 func (g gossipSource) HandleAlert(a *alert.Alert) {
 	g.recordLeaving(a.Leaving, a.Name)
+	for _, p := range a.Paces {
+		g.paces.Observe(p.Key, float64(p.Percent)/100)
+	}
 	if a.Era == 0 {
 		return // The beat states the versions.
 	}
