probe: one entry a zone probes a store that fails

By path and second: 674 reads of the whole list or configuration that failed, 575 and 593 calls in two spans of 4 s of the outage. Once the watching entries lose the store, all 68 entries watch again, and each tries again after 0.25, 0.5, 1 s and so on, by two followers.

Ruled out: agents (141 failed reads of plans, spread over 12 s) and the start (619 calls, nine an entry, needed once).

Change: core/probe decides the wait. The first live entry of a zone probes from 0.25 s up to 1 s; the others wait 1 to 10 s by the number of entries, but go on at once when enough peers watch. A failed registration waits by the same rule.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -7,18 +7,17 @@
 	"sync/atomic"
 	"time"
 
+	"pimentoseam/core/probe"
 	"pimentoseam/io/proc"
 	"pimentoseam/platform"
 )
 
 const (
-	maxWait        = 25 * time.Second       // Maximum wait of one watch call; the store allows 30 s.
-	minRetry       = 250 * time.Millisecond // Longest pause after the first failed read; it doubles with each further one.
-	suspendRecheck = 50 * time.Millisecond  // Interval between checks whether the follower is still suspended.
+	maxWait        = 25 * time.Second      // Maximum wait of one watch call; the store allows 30 s.
+	suspendRecheck = 50 * time.Millisecond // Interval between checks whether the follower is still suspended.
 	// settleTime is the pause between the first read and the first watch, in which other processes can report
 	// that they watch the prefix already.
 	settleTime = 250 * time.Millisecond
-	maxRetry   = 1 * time.Second // Default maximum pause after failed calls; short, so that recovery is noticed soon.
 )
 
 // Update is the result of a read or a watch.
@@ -30,18 +29,18 @@
 
 // Follower reads all items below a prefix once and then watches the prefix.
 type Follower struct {
-	store            *platform.Store
-	log              *slog.Logger
-	prefix           string
-	apply            func(Update)
-	onFailure        func()
-	pause            time.Duration
-	wait             func() time.Duration
-	suspended        func() bool
-	revision         func() int64
-	maxRetryInterval func() time.Duration
-	unavailable      atomic.Bool
-	lastSuccess      atomic.Int64 // Uptime in nanoseconds at the last successful call; 0 after a failure, a compaction or a suspension.
+	store       *platform.Store
+	log         *slog.Logger
+	prefix      string
+	apply       func(Update)
+	onFailure   func()
+	pause       time.Duration
+	wait        func() time.Duration
+	suspended   func() bool
+	revision    func() int64
+	retryWait   func(previous time.Duration) time.Duration
+	unavailable atomic.Bool
+	lastSuccess atomic.Int64 // Uptime in nanoseconds at the last successful call; 0 after a failure, a compaction or a suspension.
 }
 
 // Option configures a Follower.
@@ -71,9 +70,10 @@
 	return func(f *Follower) { f.suspended, f.revision = suspended, revision }
 }
 
-// WithMaxRetryInterval sets a function that returns the maximum interval between calls while they fail.
-func WithMaxRetryInterval(maxInterval func() time.Duration) Option {
-	return func(f *Follower) { f.maxRetryInterval = maxInterval }
+// WithRetryWait sets a function that returns the longest wait after a failed read, given the one before, 0 for none. The
+// default is that of a process that probes the store for others.
+func WithRetryWait(retryWait func(previous time.Duration) time.Duration) Option {
+	return func(f *Follower) { f.retryWait = retryWait }
 }
 
 // New returns a Follower that calls apply with each update, one at a time.
@@ -81,7 +81,7 @@
 	f := &Follower{
 		store: store, log: log, prefix: prefix, apply: apply, onFailure: func() {},
 		wait: func() time.Duration { return maxWait }, suspended: func() bool { return false }, revision: func() int64 { return 0 },
-		maxRetryInterval: func() time.Duration { return maxRetry },
+		retryWait: func(previous time.Duration) time.Duration { return probe.Wait(0, 1, previous) },
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -91,17 +91,17 @@
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	retry := minRetry
+	retry := time.Duration(0)
 	for ctx.Err() == nil {
 		all, err := f.store.ReadAll(ctx, f.prefix, false)
 		if err != nil {
 			f.handleError(ctx, err)
-			proc.Sleep(ctx, proc.Jitter(retry))
-			retry = min(2*retry, f.maxRetryInterval())
+			retry = f.retryWait(retry)
+			f.backOff(ctx, proc.Jitter(retry))
 			f.waitSuspended(ctx)
 			continue
 		}
-		retry = minRetry
+		retry = 0
 		f.markAvailable()
 		f.lastSuccess.Store(proc.Uptime())
 		f.apply(Update{IsSnapshot: true, Items: all.Items, Revision: all.Revision})
@@ -130,6 +130,14 @@
 	}
 }
 
+// backOff pauses for d, or until the follower is suspended.
+func (f *Follower) backOff(ctx context.Context, d time.Duration) {
+	end := time.Now().Add(d)
+	for ctx.Err() == nil && time.Now().Before(end) && !f.suspended() {
+		proc.Sleep(ctx, min(suspendRecheck, time.Until(end)))
+	}
+}
+
 // waitSuspended blocks while the follower is suspended and reports whether it was.
 func (f *Follower) waitSuspended(ctx context.Context) bool {
 	waited := false
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -125,9 +125,9 @@
 	g.gossip = gossip.New(settings.Peer, settings.Name, settings.Zone, g.log, gossipSource{g})
 	g.election = newElection(g)
 	g.watchConfig = follow.New(g.store, g.log, platform.ConfigKey, g.applyConfig, follow.WithPause(configPause),
-		follow.WithWait(watchWait), follow.WithSuspend(g.reliesOnPeers, g.configRevision), follow.WithMaxRetryInterval(g.maxStoreRetryWait))
+		follow.WithWait(watchWait), follow.WithSuspend(g.reliesOnPeers, g.configRevision), follow.WithRetryWait(g.storeRetryWait))
 	g.watchMembers = follow.New(g.store, g.log, platform.MemberPrefix, g.applyMembers, follow.WithPause(memberPause),
-		follow.WithWait(watchWait), follow.WithOnFailure(g.recordListOutage), follow.WithSuspend(g.reliesOnPeers, g.membersRevision), follow.WithMaxRetryInterval(g.maxStoreRetryWait))
+		follow.WithWait(watchWait), follow.WithOnFailure(g.recordListOutage), follow.WithSuspend(g.reliesOnPeers, g.membersRevision), follow.WithRetryWait(g.storeRetryWait))
 	g.snapshot.Store(&upstreamSnapshot{})
 	return g
 }
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -18,7 +18,11 @@
 	// at most ten minutes.
 	entryTTL           = 5 * time.Minute
 	entryRenewInterval = 2 * time.Minute
-	registerRetryWait  = 2 * time.Second // Time between attempts to register.
+	// eraCheckInterval is the time between checks whether the store has come back from an older copy, which may lack
+	// this entry's key.
+	eraCheckInterval = 2 * time.Second
+	// minRegisterWait is the shortest wait after a failed registration, which is not urgent.
+	minRegisterWait = time.Second
 	// peerStateTTL is how long the summed state of the other entries is used before it is computed again.
 	peerStateTTL = 20 * time.Millisecond
 )
@@ -42,6 +46,7 @@
 		panic(err) // an address and a name always encode
 	}
 	var lease platform.Lease
+	var retry time.Duration
 	for ctx.Err() == nil {
 		wait, era := entryRenewInterval, g.store.Era()
 		if !lease.IsValid() {
@@ -51,7 +56,10 @@
 		}
 		if err != nil {
 			g.log.Warn("registration in store failed", "err", err)
-			lease, wait = platform.Lease{}, registerRetryWait
+			retry = g.storeRetryWait(max(retry, minRegisterWait))
+			lease, wait = platform.Lease{}, retry
+		} else {
+			retry = 0
 		}
 		g.sleepInEra(ctx, proc.Jitter(wait), era)
 	}
@@ -62,7 +70,7 @@
 func (g *Gate) sleepInEra(ctx context.Context, d time.Duration, era int64) {
 	end := time.Now().Add(d)
 	for ctx.Err() == nil && time.Now().Before(end) && g.store.Era() == era {
-		proc.Sleep(ctx, min(proc.Jitter(registerRetryWait), time.Until(end)))
+		proc.Sleep(ctx, min(proc.Jitter(eraCheckInterval), time.Until(end)))
 	}
 }
 
--- a/io/gate/watch.go
+++ b/io/gate/watch.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"pimentoseam/core/probe"
+)
 
 const (
 	// numWatchers is the number of entries that watch the store, the first by zone and name. The other entries learn
@@ -16,21 +20,11 @@
 	maxBehindTime = 600 * time.Millisecond
 )
 
-// retryWaitPerEntry is the mean time between calls of all entries together to a store that fails: each entry waits
-// for it multiplied by the number of entries, within limits. Together they soon detect that the store has recovered,
-// and the first that reaches it passes changes on to the others.
-const retryWaitPerEntry = 100 * time.Millisecond
-
-// maxStoreRetryWait returns the longest time between this entry's calls to a store that fails.
-func (g *Gate) maxStoreRetryWait() time.Duration {
-	return min(maxRetryWait, max(minRetryWait, retryWaitPerEntry*time.Duration(g.gossip.NumEntries())))
+// storeRetryWait returns the longest wait of this entry after a failed call to the store, given the one before.
+func (g *Gate) storeRetryWait(previous time.Duration) time.Duration {
+	return probe.Wait(g.gossip.Rank(), g.gossip.NumEntries(), previous)
 }
 
-const (
-	minRetryWait = time.Second
-	maxRetryWait = 10 * time.Second
-)
-
 // watchWait returns the time limit of one watch call.
 func watchWait() time.Duration {
 	return watchTimeout
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -243,11 +243,11 @@
 
 // SendsDigest reports whether this entry sends the digest of its zone to other zones.
 func (g *Gossip) SendsDigest() bool {
-	return g.rank() < maxDigestSenders
+	return g.Rank() < maxDigestSenders
 }
 
-// rank returns the number of live entries in the zone whose names sort before this entry's.
-func (g *Gossip) rank() int {
+// Rank returns the number of live entries in the zone whose names sort before this entry's.
+func (g *Gossip) Rank() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := 0
@@ -316,7 +316,7 @@
 			nextBeat = now.Add(proc.Jitter(2 * g.shortestInterval())) // 2/3 to 4/3 of the mean interval.
 		}
 		if now := time.Now(); triggered || !now.Before(nextDigest) {
-			rank := g.rank()
+			rank := g.Rank()
 			if rank < maxDigestSenders {
 				g.sendDigest()
 			}
