--- a/core/pace/meter.go
+++ b/core/pace/meter.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// maxSamples is the number of samples of an engine that count. An engine that turns slow is known as such after
-	// the greater part of quantile of them.
-	maxSamples = 9
+	// maxSamples is the number of samples of an engine that count.
+	maxSamples = 25
+	// changeSamples is the number of last samples that alone count if all of them are above changeRatio times the
+	// factor that all samples show: the engine has turned slow.
+	changeSamples = 7
+	changeRatio   = 1.5
 	// minSamples is the number of samples from which an engine's own factor counts.
 	minSamples = 3
 	// quantile of the samples is the factor. Samples are too high where a queue was not known or a part that was
@@ -102,12 +105,24 @@
 	if len(samples) < minSamples {
 		return 0, false
 	}
+	factor := quantileOf(samples)
+	if len(samples) > changeSamples {
+		last := samples[len(samples)-changeSamples:]
+		if !slices.ContainsFunc(last, func(s sample) bool { return s.ratio <= changeRatio*factor }) {
+			factor = quantileOf(last)
+		}
+	}
+	return factor, true
+}
+
+// quantileOf returns the quantile of the samples' ratios.
+func quantileOf(samples []sample) float64 {
 	ratios := make([]float64, len(samples))
 	for i, s := range samples {
 		ratios[i] = s.ratio
 	}
 	slices.Sort(ratios)
-	return ratios[int(quantile*float64(len(ratios)))], true
+	return ratios[int(quantile*float64(len(ratios)))]
 }
 
 // recent returns the samples that still count; they are in order of time.
