--- /dev/null
+++ b/io/gossip/alert.go
@@ -0,0 +1,41 @@
+package gossip
+
+import (
+	"net/netip"
+
+	"pimentoseam/core/alert"
+)
+
+// sendAlert sends this entry's alert, unless it is empty, to the live peers and, if this entry sends digests, to one
+// entry of each other zone.
+func (g *Gossip) sendAlert() {
+	a := g.delegate.Alert()
+	if a.IsEmpty() {
+		return
+	}
+	var targets []netip.AddrPort
+	for _, p := range g.Peers() {
+		if p.Alive() {
+			targets = append(targets, p.Addr)
+		}
+	}
+	if g.SendsDigest() {
+		targets = append(targets, g.zoneTargets()...)
+	}
+	data := a.Encode()
+	for _, addr := range targets {
+		g.Send(addr, data)
+	}
+}
+
+// handleAlert passes an alert of another entry on to the delegate.
+func (g *Gossip) handleAlert(from netip.AddrPort, data []byte) {
+	a, err := alert.Parse(data)
+	if err != nil {
+		g.log.Warn("invalid alert", "peer", from, "err", err)
+		return
+	}
+	if a.Name != g.name {
+		g.delegate.HandleAlert(a)
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -50,66 +49,6 @@
 	maxDatagramBytes = 64 << 10
 )
 
-// Peer is another entry of the zone with its latest beat, or a digest sender of another zone with the latest digest
-// from it.
-type Peer struct {
-	Addr       netip.AddrPort
-	Beat       *beat.Beat    // The latest message; nil if none was received.
-	receivedAt time.Time     // When Beat was received.
-	addedAt    time.Time     // When the entry was added; zero for a zone.
-	timeout    time.Duration // Liveness timeout, set with Beat.
-}
-
-// Alive reports whether a message was received from the peer within its liveness timeout.
-func (p *Peer) Alive() bool {
-	return p.Beat != nil && time.Since(p.receivedAt) < p.timeout
-}
-
-// Age returns the time since the latest message from the peer was received.
-func (p *Peer) Age() time.Duration {
-	return time.Since(p.receivedAt)
-}
-
-// isReplacedBy reports whether b supersedes the peer's latest message. Any message supersedes that of a peer
-// that isn't alive.
-func (p *Peer) isReplacedBy(b *beat.Beat) bool {
-	old := p.Beat
-	return old == nil || !p.Alive() || b.Start > old.Start || (b.Start == old.Start && b.Seq > old.Seq)
-}
-
-// remoteZone is another availability zone.
-type remoteZone struct {
-	entries map[netip.AddrPort]bool // The known gossip addresses in the zone.
-	digests map[string]*Peer        // The latest digests by the name of the entry that sent them.
-}
-
-// latestDigest returns the digest of the zone that was received last, nil if there is none.
-func (z *remoteZone) latestDigest() *Peer {
-	var latest *Peer
-	for _, p := range z.digests {
-		if latest == nil || p.receivedAt.After(latest.receivedAt) {
-			latest = p
-		}
-	}
-	return latest
-}
-
-// target returns the address that digests are sent to: the entry whose digest was received last if it is
-// alive, otherwise a random entry of the zone.
-func (z *remoteZone) target() netip.AddrPort {
-	if p := z.latestDigest(); p != nil && p.Alive() && p.Addr.IsValid() {
-		return p.Addr
-	}
-	n := rand.N(max(1, len(z.entries)))
-	for addr := range z.entries {
-		if n == 0 {
-			return addr
-		}
-		n--
-	}
-	return netip.AddrPort{}
-}
-
 // Gossip sends this entry's beats to the other entries of its zone and keeps the beats that it receives. The
 // live entries whose names sort first in a zone are its digest senders: they also send the zone's digest to other
 // zones, where the receiver forwards it to the entries of its own zone.
@@ -187,16 +126,6 @@
 	}
 }
 
-// remoteZone returns the state of another zone and creates it if necessary; the lock must be held.
-func (g *Gossip) remoteZone(zone string) *remoteZone {
-	z := g.zones[zone]
-	if z == nil {
-		z = &remoteZone{entries: make(map[netip.AddrPort]bool), digests: make(map[string]*Peer)}
-		g.zones[zone] = z
-	}
-	return z
-}
-
 // Peers returns the other entries of the zone and the entries whose zone isn't known yet, alive or not.
 func (g *Gossip) Peers() []Peer {
 	g.mu.Lock()
@@ -348,41 +277,6 @@
 	}
 }
 
-// sendAlert sends this entry's alert, unless it is empty, to the live peers and, if this entry sends digests, to one
-// entry of each other zone.
-func (g *Gossip) sendAlert() {
-	a := g.delegate.Alert()
-	if a.IsEmpty() {
-		return
-	}
-	var targets []netip.AddrPort
-	for _, p := range g.Peers() {
-		if p.Alive() {
-			targets = append(targets, p.Addr)
-		}
-	}
-	if g.SendsDigest() {
-		targets = append(targets, g.zoneTargets()...)
-	}
-	data := a.Encode()
-	for _, addr := range targets {
-		g.Send(addr, data)
-	}
-}
-
-// zoneTargets returns the address of one entry of each other zone.
-func (g *Gossip) zoneTargets() []netip.AddrPort {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	targets := make([]netip.AddrPort, 0, len(g.zones))
-	for _, z := range g.zones {
-		if addr := z.target(); addr.IsValid() {
-			targets = append(targets, addr)
-		}
-	}
-	return targets
-}
-
 // sendDigest sends the zone's digest to one entry of each other zone.
 func (g *Gossip) sendDigest() {
 	targets := g.zoneTargets()
@@ -471,18 +365,6 @@
 	}
 }
 
-// handleAlert passes an alert of another entry on to the delegate.
-func (g *Gossip) handleAlert(from netip.AddrPort, data []byte) {
-	a, err := alert.Parse(data)
-	if err != nil {
-		g.log.Warn("invalid alert", "peer", from, "err", err)
-		return
-	}
-	if a.Name != g.name {
-		g.delegate.HandleAlert(a)
-	}
-}
-
 // handleBeat stores a beat of an entry of this zone.
 func (g *Gossip) handleBeat(from netip.AddrPort, b *beat.Beat) {
 	g.mu.Lock()
