gate, client: logs state how an answer was framed

The reported streams were broken off and framed as complete; the log lines of an answer could not tell whether it had a length, chunks or ended with its connection, nor whether the rest of an event was left over. No decision changes.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -111,7 +111,7 @@
 // was, Close returns the connection to the pool, or closes it if it can't be reused: the context has ended, the
 // response ends with the connection, unexpected data has arrived, or the request body wasn't written completely.
 func (r *Response) Close() {
-	usable := r.stopCancel() && r.complete && !r.Response.Close && r.isDelimited() && r.conn.reader.Buffered() == 0
+	usable := r.stopCancel() && r.complete && !r.Response.Close && r.Framing() != Connection && r.conn.reader.Buffered() == 0
 	if usable && r.conn.bodyWritten != nil {
 		select {
 		case err := <-r.conn.bodyWritten:
@@ -132,15 +132,25 @@
 	r.pool.putIdle(r.conn, r.Header)
 }
 
-// EndsWithConnection reports whether the body has no length of its own, so that its end can't be told from a failure
-// of the upstream that closes the connection.
-func (r *Response) EndsWithConnection() bool {
-	return !r.isDelimited()
-}
+// Framing is what ends a response body.
+type Framing string
+
+// The framings of a response body.
+const (
+	Length     Framing = "length"     // Content-Length, or a status or method that excludes a body.
+	Chunks     Framing = "chunks"     // The last chunk.
+	Connection Framing = "connection" // The end of the connection, as when the upstream fails.
+)
 
-// isDelimited reports whether the body ends by Content-Length or chunked encoding and not by connection close.
-func (r *Response) isDelimited() bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+// Framing returns what ends the body.
+func (r *Response) Framing() Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return Chunks
+	case r.ContentLength >= 0:
+		return Length
+	}
+	return Connection
 }
 
 var _ io.Reader = (*Response)(nil)
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -47,7 +47,7 @@
 	x.possibleRuns++
 	switch {
 	case err != nil:
-		x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "err", err)
+		x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "framing", resp.Framing(), "bytes", len(buffered), "err", err)
 	case status < http.StatusBadRequest && !reply.HasSeal:
 		x.gate.log.Warn("response lacks the upstream's seal", "id", x.call.ID, "upstream", info.ID, "status", status)
 	case impliesNotRun(status):
@@ -94,7 +94,7 @@
 			return maybeRun
 		}
 	}
-	x.recordAnswered(resp.StatusCode)
+	x.recordAnswered(resp)
 	return done
 }
 
@@ -113,12 +113,12 @@
 }
 
 // recordAnswered updates the metrics and logs a complete response.
-func (x *exchange) recordAnswered(status int) {
+func (x *exchange) recordAnswered(resp *client.Response) {
 	x.count("answered")
 	x.gate.meter.Latency("first "+x.route.Name, x.timeToHead)
 	x.gate.meter.Latency("whole "+x.route.Name, time.Since(x.arrived))
 	x.gate.log.Info("answered", "id", x.call.ID, "route", x.route.Name, "upstream", x.lastUpstream, "config", x.table.Version,
-		"status", status, "first", x.timeToHead, "took", time.Since(x.arrived),
+		"status", resp.StatusCode, "framing", resp.Framing(), "first", x.timeToHead, "took", time.Since(x.arrived),
 		"events", x.events, "arrivals", x.delivered, "ran", x.possibleRuns, "rejects", x.rejections)
 }
 
@@ -144,7 +144,7 @@
 		pending = append(pending, buffer[:n]...)
 		complete := completeEventsLen(pending)
 		if errors.Is(err, io.EOF) {
-			if resp.EndsWithConnection() && complete < len(pending) {
+			if resp.Framing() == client.Connection && complete < len(pending) {
 				err = io.ErrUnexpectedEOF // An upstream that fails closes its connection like one that has finished.
 			} else {
 				complete = len(pending)
@@ -170,13 +170,13 @@
 			}
 			u.breaker.Success()
 			x.decodeTime.Add(time.Since(x.arrived) - x.timeToHead)
-			x.recordAnswered(resp.StatusCode)
+			x.recordAnswered(resp)
 			return done
 		case err != nil && ctx.Err() != nil:
 			u.breaker.Cancel()
 			return abandoned
 		case err != nil:
-			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "events", x.events, "err", err)
+			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "pending", len(pending), "err", err)
 			u.breaker.Failure()
 			return maybeRun
 		}
