gate: a continued stream isn't cut at the first attempt's length

What callers saw: a stream whose engine had stated a length, broke off and was continued by another engine ended as broken at that length, although all events were there.

Cause: the Content-Length of the first attempt was passed on, and the HTTP server refuses to write beyond it. Before: TestStreamOutlivesItsLength, 'got <nil>, id: 1 to 6, want nine events'. Now the caller gets such a stream in chunks.

--- a/io/gate/ending_test.go
+++ b/io/gate/ending_test.go
@@ -237,3 +237,29 @@
 		})
 	}
 }
+
+// TestStreamOutlivesItsLength guards against a stream that can't be continued because its caller was told the length of
+// the first attempt's part.
+func TestStreamOutlivesItsLength(t *testing.T) {
+	const first = "id: 1\ndata: x\n\n"
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	replicas := []*simop.Replica{newReplica(t, "d-1", "lm", "decode"), newReplica(t, "d-2", "lm", "decode")}
+	var attempts atomic.Int64
+	for _, r := range replicas {
+		r.SetStream(9, time.Millisecond, 0)
+		r.SetHandler(func(w http.ResponseWriter, req *http.Request) {
+			if attempts.Add(1) > 1 {
+				r.ServeDefault(w, req)
+				return
+			}
+			answerRaw(strings.Replace(frameBody("length", first), "Content-Length: ", "Content-Length: 1", 1))(w, req)
+		})
+	}
+	g := startGate(t, store, "", replicas...)
+	g.waitReady(t)
+	resp, body := g.call(t, "POST", "/model/x", "l1", "X-Token-Counts", "100,40")
+	if resp == nil || strings.Count(body, "id: ") != 9 || !strings.HasPrefix(body, first+"id: 2\n") {
+		t.Errorf("got %v %q, want nine events", resp, body)
+	}
+}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -17,7 +17,7 @@
 
 // relay sends an upstream's response to the caller.
 func (x *exchange) relay(ctx context.Context, u *upstream, resp *client.Response) result {
-	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
+	if x.isStream(resp) {
 		return x.relayStream(ctx, u, resp)
 	}
 	if x.headSent {
@@ -26,6 +26,10 @@
 	return x.relayBody(ctx, u, resp)
 }
 
+func (x *exchange) isStream(resp *client.Response) bool {
+	return x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK
+}
+
 // rejectContinuation handles a response that can't continue the stream of which the caller has a part: its body would
 // end the stream as if that were complete.
 func (x *exchange) rejectContinuation(u *upstream, resp *client.Response) result {
@@ -104,6 +108,9 @@
 	for name, values := range platform.ResponseHeader(resp.Header) {
 		h[name] = values
 	}
+	if x.isStream(resp) {
+		h.Del("Content-Length") // Another attempt may continue the stream with a body of another length.
+	}
 	if x.gate.stopping.Load() {
 		h.Set("Connection", "close")
 	}
