gate, stream: a stream that ends inside an event is broken off

Cause: the gate went by the framing of the upstream's answer. Where that had neither length nor chunks, the end of the connection was the end of the stream, half an event included; caught this one form. An upstream that fails and still ends its length or chunks properly gave the same to the caller. Class: the end of the transport taken for the end of the content.

Change: core/stream reads the events themselves, whatever the framing. Only complete events go to the caller, and a stream that ends inside one has been broken off: it is continued where the route allows that, else aborted.

--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -1,15 +1,14 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"pimentoseam/core/route"
+	"pimentoseam/core/stream"
 	"pimentoseam/io/client"
 	"pimentoseam/io/proc"
 	"pimentoseam/platform"
@@ -142,33 +141,23 @@
 		return maybeRun
 	}
 	x.possibleRuns++
-	control := http.NewResponseController(x.w)
-	var pending []byte
+	events, sentBefore := stream.New(), x.events
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := resp.Read(buffer)
 		u.lastReceived.Store(proc.Uptime())
-		pending = append(pending, buffer[:n]...)
-		complete := completeEventsLen(pending)
-		if errors.Is(err, io.EOF) {
-			if resp.Framing() == client.Connection && complete < len(pending) {
-				err = io.ErrUnexpectedEOF // An upstream that fails closes its connection like one that has finished.
-			} else {
-				complete = len(pending)
-			}
+		if tooLarge := events.Add(buffer[:n]); tooLarge != nil {
+			err = tooLarge
 		}
-		if complete > 0 {
-			if !x.headSent {
-				x.writeHeader(resp)
-			}
-			if _, werr := x.w.Write(pending[:complete]); werr != nil {
-				return abandoned
-			}
-			if ferr := control.Flush(); ferr != nil {
-				return abandoned
+		if !x.sendEvents(resp, events) {
+			return abandoned
+		}
+		x.events = sentBefore + events.Count()
+		if errors.Is(err, io.EOF) {
+			// An upstream that fails may end its response properly.
+			if incomplete := events.End(); incomplete != nil {
+				err = incomplete
 			}
-			x.recordEvents(pending[:complete])
-			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -183,30 +172,30 @@
 			u.breaker.Cancel()
 			return abandoned
 		case err != nil:
-			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "pending", len(pending), "err", err)
+			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "err", err)
 			u.breaker.Failure()
 			return maybeRun
 		}
 	}
 }
 
-// completeEventsLen returns the length of the complete events at the beginning of data.
-func completeEventsLen(data []byte) int {
-	end := 0
-	for _, blank := range []string{"\n\n", "\r\n\r\n", "\r\r"} {
-		if i := bytes.LastIndex(data, []byte(blank)); i >= 0 {
-			end = max(end, i+len(blank))
-		}
+// sendEvents sends the complete events to the caller; it returns false if the caller has disconnected.
+func (x *exchange) sendEvents(resp *client.Response, events *stream.Splitter) bool {
+	data := events.Take()
+	if len(data) == 0 {
+		return true
 	}
-	return end
-}
-
-// recordEvents counts events that were sent to the caller and records the id of the last one.
-func (x *exchange) recordEvents(events []byte) {
-	for line := range strings.SplitSeq(string(events), "\n") {
-		if id, ok := strings.CutPrefix(strings.TrimSuffix(line, "\r"), "id:"); ok {
-			x.lastEventID = strings.TrimPrefix(id, " ")
-			x.events++
-		}
+	if !x.headSent {
+		x.writeHeader(resp)
+	}
+	if _, err := x.w.Write(data); err != nil {
+		return false
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return false
+	}
+	if id := events.LastID(); id != "" {
+		x.lastEventID = id
 	}
+	return true
 }
