gate: the end of a connection without any event is no empty stream

An engine that fails before its first event and had announced neither length nor chunks left its caller with an empty stream, framed as complete.

Ruled out: every empty stream as broken; a caller that has all events and resumes gets an empty rest, and an upstream that states length 0 or a last chunk says so itself.

TestStreamWithoutEvents failed before in 2 of 2 cases: 'the caller got "" as a complete stream'.

--- a/core/stream/splitter.go
+++ b/core/stream/splitter.go
@@ -95,6 +95,8 @@
 	case len(line) == 0:
 		if s.hasID {
 			s.lastID = s.id
+		}
+		if s.inEvent {
 			s.count++
 		}
 		s.inEvent, s.hasID = false, false
@@ -126,7 +128,7 @@
 	return s.lastID
 }
 
-// Count returns the number of complete events that have an id.
+// Count returns the number of complete events.
 func (s *Splitter) Count() int {
 	return s.count
 }
--- a/core/stream/splitter_test.go
+++ b/core/stream/splitter_test.go
@@ -25,7 +25,7 @@
 		{"comments", ": a\nid: 1\n: b\n\n: c\n", ": a\nid: 1\n: b\n\n: c\n", "1", 1},
 		{"comment in an event", "id: 1\n: b\n", "", "", 0},
 		{"half a comment", "id: 1\n\n: c", "id: 1\n\n", "1", 1},
-		{"event without an id", "id: 1\n\ndata: x\n\n", "id: 1\n\ndata: x\n\n", "1", 1},
+		{"event without an id", "id: 1\n\ndata: x\n\n", "id: 1\n\ndata: x\n\n", "1", 2},
 		{"empty lines", "\n\n\n", "\n\n\n", "", 0},
 	}
 	for _, test := range tests {
--- a/io/gate/ending_test.go
+++ b/io/gate/ending_test.go
@@ -263,3 +263,26 @@
 		t.Errorf("got %v %q, want nine events", resp, body)
 	}
 }
+
+// TestStreamWithoutEvents guards against an upstream that fails before its first event, where the end of the connection
+// looks like the end of an empty stream.
+func TestStreamWithoutEvents(t *testing.T) {
+	for name, body := range map[string]string{"nothing": "", "a comment": ": hello\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			store.Put("op/config", config(1, 3000))
+			d := newReplica(t, "d-1", "lm", "decode")
+			d.SetHandler(answerRaw(frameBody("connection", body)))
+			g := startGate(t, store, "", d)
+			g.waitReady(t)
+			if resp, got := g.call(t, "POST", "/fixed/x", "n1", "X-Token-Counts", "100,40"); resp != nil && resp.StatusCode == http.StatusOK {
+				t.Errorf("the caller got %q as a complete stream", got)
+			}
+			// A caller that has all events resumes for the end alone.
+			if resp, _ := g.call(t, "POST", "/model/x", "n2", "X-Token-Counts", "100,40", "Last-Event-Id", "40"); resp == nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("resumed: got %v, want an empty rest", resp)
+			}
+		})
+	}
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -55,7 +55,7 @@
 	lastUpstream string             // Id of the upstream of the last attempt.
 	onResponse   func()             // Called when the response head is sent.
 	lastEventID  string             // Id of the last stream event that the caller received.
-	events       int                // Number of events with an id that were sent to the caller.
+	events       int                // Number of events that were sent to the caller.
 }
 
 // result is the outcome of an attempt at an upstream.
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -154,8 +154,7 @@
 		}
 		x.events = sentBefore + events.Count()
 		if errors.Is(err, io.EOF) {
-			// An upstream that fails may end its response properly.
-			if incomplete := events.End(); incomplete != nil {
+			if incomplete := x.checkEnd(resp, events); incomplete != nil {
 				err = incomplete
 			}
 		}
@@ -179,6 +178,16 @@
 	}
 }
 
+// checkEnd returns an error if a stream whose body has ended is not complete. An upstream that fails may end its body
+// properly, and the end of its connection without any event tells nothing. Only a caller that has events already can
+// get an empty rest.
+func (x *exchange) checkEnd(resp *client.Response, events *stream.Splitter) error {
+	if resp.Framing() == client.Connection && events.Count() == 0 && x.lastEventID == "" {
+		return io.ErrUnexpectedEOF
+	}
+	return events.End()
+}
+
 // sendEvents sends the complete events to the caller; it returns false if the caller has disconnected.
 func (x *exchange) sendEvents(resp *client.Response, events *stream.Splitter) bool {
 	data := events.Take()
