client: response heads are limited to 64 KB

Cause: http.ReadResponse reads lines and headers without a limit, and informational responses were skipped without one, so a gate collected what came until the request's deadline: at 1 Gbit/s a single request fills a front VM's memory in three seconds.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -26,6 +26,36 @@
 	return "no response read belongs to this request"
 }
 
+// HeadTooLarge reports response heads larger than a limit in bytes.
+type HeadTooLarge struct {
+	Limit int64
+}
+
+// Error returns a text with the limit.
+func (e *HeadTooLarge) Error() string {
+	return "response head exceeds " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
+// limitedReader limits the bytes of response heads. Bodies are read without its limit.
+type limitedReader struct {
+	io.Reader
+	inHead   bool
+	headLeft int64 // Bytes of heads that may still be read.
+}
+
+// Read reads from the underlying reader; its error is a *HeadTooLarge if the limit is reached in a head.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.inHead {
+		return r.Reader.Read(p)
+	}
+	if r.headLeft <= 0 {
+		return 0, &HeadTooLarge{Limit: maxHeadBytes}
+	}
+	n, err := r.Reader.Read(p)
+	r.headLeft -= int64(n)
+	return n, err
+}
+
 // send writes the request and reports whether any byte may have been sent.
 func (c *conn) send(r *Request) (bool, error) {
 	head, err := r.encodeHead()
@@ -68,6 +98,8 @@
 // that don't belong to the request, such as a second response to an earlier one.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
+	c.source.headLeft, c.source.inHead = maxHeadBytes, true
+	defer func() { c.source.inHead = false }()
 	for stale := 0; stale <= maxStaleResponses; {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -80,10 +112,12 @@
 			return response, nil
 		}
 		stale++
+		c.source.inHead = false
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBody))
 		if err != nil || n == maxStaleBody || response.Close {
 			break
 		}
+		c.source.inHead = true
 	}
 	return nil, &StaleResponses{}
 }
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -36,6 +36,9 @@
 	idleTimeoutMargin = 700 * time.Millisecond
 	// readBufferSize is the size in bytes of a connection's read buffer.
 	readBufferSize = 4 << 10
+	// maxHeadBytes limits the heads read for one response, those of skipped and informational responses included. An
+	// upstream in trouble may send without end.
+	maxHeadBytes = 64 << 10
 	// maxIdleConns limits the idle connections to one address.
 	maxIdleConns = 32
 	// maxInlineBody is the size in bytes up to which a body is written together with the request head.
@@ -131,10 +134,11 @@
 type conn struct {
 	net.Conn
 	addr        netip.AddrPort
-	reader      *bufio.Reader
-	expires     time.Time  // Time from which an idle connection isn't reused.
-	bodyWritten chan error // Result of writing a long body; nil without one.
-	reused      bool       // It has carried a request before the present one.
+	source      *limitedReader // Reads from Conn.
+	reader      *bufio.Reader  // Reads from source.
+	expires     time.Time      // Time from which an idle connection isn't reused.
+	bodyWritten chan error     // Result of writing a long body; nil without one.
+	reused      bool           // It has carried a request before the present one.
 }
 
 // Do sends a request and returns when the response head has arrived. limit is the maximum of open
@@ -196,7 +200,8 @@
 		p.releaseSlot(addr)
 		return nil, &NotSent{Cause: cause(ctx, err)}
 	}
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	source := &limitedReader{Reader: raw}
+	return &conn{Conn: raw, addr: addr, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
--- a/io/client/pool_test.go
+++ b/io/client/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -320,3 +321,31 @@
 		}
 	}
 }
+
+// TestHeadLimit guards against response heads without end, and checks that skipped bodies don't count as heads.
+func TestHeadLimit(t *testing.T) {
+	long := strings.Repeat("x", 200<<10)
+	tests := []struct {
+		name, data string
+		ok         bool
+	}{
+		{"long body", response("a", long), true},
+		{"long skipped body", response("other", long) + response("a", "own"), true},
+		{"long header", "HTTP/1.1 200 OK\r\nId: a\r\nX: " + long + "\r\nContent-Length: 0\r\n\r\n", false},
+		{"many headers", "HTTP/1.1 200 OK\r\nId: a\r\n" + strings.Repeat("X: x\r\n", 40<<10) + "Content-Length: 0\r\n\r\n", false},
+		{"many interim responses", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 10<<10) + response("a", "own"), false},
+	}
+	for _, test := range tests {
+		u := newUpstream(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, test.data) // Fails only if the client has closed the connection.
+				_, _ = io.Copy(io.Discard, r)
+			}
+		})
+		_, err := do(client.New(), u.addr(), request("a"))
+		tooLarge := new(client.HeadTooLarge)
+		if test.ok != (err == nil) || (!test.ok && !errors.As(err, &tooLarge)) {
+			t.Errorf("%s: got %v, want success %v", test.name, err, test.ok)
+		}
+	}
+}
