gate, client: the rest of a refusal doesn't delay the next attempt

What callers saw in the test: 503 after the request's whole time, though another upstream was free.

Cause: before another attempt, the gate read the refusal's body to its end so that the connection could be reused. Without a length that end is the upstream's close; with one, the rest may never come.

Change: the rest has 20 ms, a round trip between regions; then, and for answers that end with their connection at once, the connection is reset.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // BadRequest reports a request whose request line or Host header would be malformed.
@@ -166,6 +167,20 @@
 	r.pool.putIdle(r.conn, r.Header)
 }
 
+// Discard reads and drops the rest of the body, so that Close can return the connection to the pool. It gives up, with an
+// error, if that takes longer than timeout or if more than limit bytes are left.
+func (r *Response) Discard(limit int64, timeout time.Duration) error {
+	if r.Framing() == Connection {
+		return nil // The connection can't be reused.
+	}
+	timer := time.AfterFunc(timeout, func() { _ = r.conn.SetReadDeadline(time.Unix(pastUnixTime, 0)) }) // Fails only on a closed connection.
+	_, err := r.ReadAll(limit)
+	if !timer.Stop() {
+		r.complete = false // The deadline would break the connection's next read.
+	}
+	return err
+}
+
 // Framing is what ends a response body.
 type Framing string
 
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -249,6 +249,7 @@
 		}
 		x.gate.log.Info("upstream did not run request", "id", x.call.ID, "upstream", info.ID, "status", resp.StatusCode, "left", dispatch.Remaining)
 		x.discardBody(resp)
+		resp.Close()
 		return nil, notRun
 	}
 	return resp, done
@@ -266,12 +267,15 @@
 	return id == "" && status >= http.StatusBadRequest && !reused
 }
 
-// discardBody reads the rest of a small response, so that its connection can be reused.
+// discardTimeout is how long the rest of a response that isn't passed on may take. It covers a round trip between regions;
+// the connection isn't worth a longer delay of the next attempt.
+const discardTimeout = 20 * time.Millisecond
+
+// discardBody drops the rest of a small response, so that its connection can be reused.
 func (x *exchange) discardBody(resp *client.Response) {
-	if _, err := resp.ReadAll(responseBufferSize); err != nil {
-		x.gate.log.Debug("rest of response not read", "id", x.call.ID, "err", err)
+	if err := resp.Discard(responseBufferSize, discardTimeout); err != nil {
+		x.gate.log.Info("rest of response not read", "id", x.call.ID, "upstream", x.lastUpstream, "err", err)
 	}
-	resp.Close()
 }
 
 // handleError updates the counters and the circuit breaker after a failed attempt and returns its outcome.
