entry: an answer without its end is a failure, not a whole answer

An engine that fails and ends its answer properly, or without a length, left the caller with half an event or half a JSON value as a whole answer: 'data: {}\n\n data: {"cho' in a trial on the code before.

Cause: the entry took the end of the body for the end of the answer, and sent the rest of an event along. Chat streams say themselves that they are complete, by [DONE].

Change: a sink decides at the end whether it has a whole answer: a stream with [DONE], a JSON value that ends. Else another attempt follows if nothing was sent, or the error event that a broken stream has had before. An answer to a stream request that is no stream is collected and limited to 8 MB.

Ruled out: answers of plain services. Where they end with their connection, a close is complete and a reset is not; nothing else tells.

--- a/io/entry/chat.go
+++ b/io/entry/chat.go
@@ -148,7 +148,6 @@
 	q.sink = out
 	fail := q.relay()
 	if fail == nil {
-		out.finish()
 		e.recordServed(q)
 		return nil
 	}
@@ -163,7 +162,7 @@
 
 // respondBuffered collects the complete answer of q before it sends it to the caller.
 func (e *Entry) respondBuffered(w http.ResponseWriter, q *request) *fault.Error {
-	out := &bufferSink{}
+	out := &bufferSink{isJSON: q.target.Kind == conf.Model}
 	q.sink = out
 	if fail := q.relay(); fail != nil {
 		return fail
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -47,6 +47,8 @@
 	writeHeader(status int, contentType string)
 	// write appends bytes to the answer; an error ends the request.
 	write(p []byte) error
+	// end ends an answer that its upstream has ended; an error means that it is not complete.
+	end() error
 	// hasDelivered reports whether any byte was sent to the caller.
 	hasDelivered() bool
 	// reset discards the bytes that were not sent to the caller, before another attempt.
--- a/io/entry/sink.go
+++ b/io/entry/sink.go
@@ -2,70 +2,122 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
+	"mime"
 	"net/http"
 	"strconv"
 
 	"pimentoseam/core/fault"
+	"pimentoseam/core/stream"
 	"pimentoseam/io/server"
 )
 
 // maxBufferedBytes is the maximum size in bytes of an answer that is not streamed.
 const maxBufferedBytes = 8 << 20
 
-// eventSink streams server-sent events and sends only complete events.
+// eventSink streams server-sent events and sends only complete events. An answer that is not a stream, such as an
+// error, is collected and sent at its end.
 type eventSink struct {
-	w       http.ResponseWriter
-	stream  *server.Stream
-	started bool   // An event was sent.
-	pending []byte // The incomplete event at the end.
+	w           http.ResponseWriter
+	stream      *server.Stream
+	status      int
+	contentType string
+	started     bool             // The head was sent.
+	events      *stream.Splitter // Nil if the answer is not a stream.
+	hasDone     bool             // The event that ends a chat stream was sent.
+	body        []byte           // The answer if it is not a stream.
+}
+
+// incompleteError reports an answer that its upstream ended properly, but that is not whole.
+type incompleteError struct {
+	lacks string // What shows it.
+}
+
+// Error returns a text with what the answer lacks.
+func (e *incompleteError) Error() string {
+	return "the upstream's answer is incomplete: no " + e.lacks
 }
 
 func (s *eventSink) writeHeader(status int, contentType string) {
 	if s.started {
 		return
 	}
-	s.w.Header().Set("Content-Type", contentType)
-	s.w.Header().Set("Cache-Control", "no-cache")
-	if status != http.StatusOK {
-		s.w.WriteHeader(status)
+	s.status, s.contentType = status, contentType
+	if mediaType, _, err := mime.ParseMediaType(contentType); status == http.StatusOK && err == nil && mediaType == "text/event-stream" {
+		s.events = stream.New()
 	}
 }
 
-var eventSeparator = []byte("\n\n")
+// sendHeader sends the head before the first bytes of the answer.
+func (s *eventSink) sendHeader() {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.w.Header().Set("Content-Type", s.contentType)
+	s.w.Header().Set("Cache-Control", "no-cache")
+	if s.status != http.StatusOK {
+		s.w.WriteHeader(s.status)
+	}
+}
 
 func (s *eventSink) write(p []byte) error {
-	s.pending = append(s.pending, p...)
-	end := bytes.LastIndex(s.pending, eventSeparator)
-	if end < 0 {
+	if s.events == nil {
+		if len(s.body)+len(p) > maxBufferedBytes {
+			return &tooLargeError{}
+		}
+		s.body = append(s.body, p...)
 		return nil
 	}
-	end += len(eventSeparator)
-	s.started = true
-	_, err := s.stream.Write(s.pending[:end])
-	s.pending = append(s.pending[:0], s.pending[end:]...)
-	return err
+	tooLarge := s.events.Add(p)
+	if events := s.events.Take(); len(events) > 0 {
+		s.sendHeader()
+		s.hasDone = s.hasDone || endsWithDone(events)
+		if _, err := s.stream.Write(events); err != nil {
+			return err
+		}
+	}
+	if tooLarge != nil {
+		return &tooLargeError{}
+	}
+	return nil
+}
+
+// endsWithDone reports whether the last line of events is the data of the event that ends a chat stream.
+func endsWithDone(events []byte) bool {
+	text := bytes.TrimRight(events, "\r\n")
+	data, ok := bytes.CutPrefix(text[bytes.LastIndexAny(text, "\r\n")+1:], []byte("data:"))
+	return ok && string(bytes.TrimSpace(data)) == "[DONE]"
 }
 
 func (s *eventSink) hasDelivered() bool { return s.started }
 
-func (s *eventSink) reset() { s.pending = nil }
+func (s *eventSink) reset() { s.events, s.body = nil, nil }
 
-// finish sends the pending bytes of a complete answer.
-func (s *eventSink) finish() {
-	if len(s.pending) > 0 {
-		_, _ = s.stream.Write(s.pending)
+// end sends the rest of an answer whose upstream has ended it. An upstream that fails may end it properly too, so a
+// stream must have its last event.
+func (s *eventSink) end() error {
+	if s.events != nil {
+		if !s.hasDone {
+			return &incompleteError{lacks: "[DONE]"}
+		}
+		return nil
 	}
+	s.sendHeader()
+	_, err := s.stream.Write(s.body)
+	return err
 }
 
 // fail sends an error event, which ends the stream.
 func (s *eventSink) fail(err *fault.Error, id string) {
 	event := append([]byte("event: error\ndata: "), server.ErrorJSON(err, id)...)
-	_, _ = s.stream.Write(append(event, eventSeparator...))
+	_, _ = s.stream.Write(append(event, "\n\n"...))
 }
 
 // bufferSink collects the complete answer before it is sent.
 type bufferSink struct {
+	isJSON      bool // A successful answer must be one JSON value.
 	status      int
 	contentType string
 	body        []byte
@@ -79,9 +131,13 @@
 	return "the answer is too large"
 }
 
-// sinkOutcome returns the outcome of an attempt whose answer a sink could not take. An answer that is too large is a
-// failure that the caller is told of, and no other attempt would have a smaller one.
+// sinkOutcome returns the outcome of an attempt whose answer a sink could not take. An incomplete answer is a failure
+// after which another attempt may be made. So is one that is too large, but no other attempt would have a smaller one.
 func sinkOutcome(err error) *outcome {
+	incomplete := new(incompleteError)
+	if errors.As(err, &incomplete) {
+		return &outcome{fault: &fault.Error{Kind: fault.Failed, Message: incomplete.Error(), RetryAfter: attemptRetryAfter}}
+	}
 	tooLarge := new(tooLargeError)
 	if errors.As(err, &tooLarge) {
 		return &outcome{fault: fault.New(fault.Failed, tooLarge.Error()), isFinal: true}
@@ -101,6 +157,13 @@
 	return nil
 }
 
+func (s *bufferSink) end() error {
+	if s.isJSON && s.status == http.StatusOK && !json.Valid(s.body) {
+		return &incompleteError{lacks: "end of the JSON value"}
+	}
+	return nil
+}
+
 func (s *bufferSink) hasDelivered() bool { return false }
 
 func (s *bufferSink) reset() { s.body = nil }
--- a/io/entry/sink_test.go
+++ b/io/entry/sink_test.go
@@ -3,7 +3,10 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+
+	"pimentoseam/io/server"
 )
 
 // TestTooLargeAnswer checks that an answer beyond the limit ends as a failure that is not tried again, and not as a
@@ -24,3 +27,66 @@
 		t.Errorf("a failed write: got %+v, want a caller that has disconnected", result)
 	}
 }
+
+// TestShortAnswer guards against an answer that its upstream broke off and ended properly, and that the caller gets as
+// complete.
+func TestShortAnswer(t *testing.T) {
+	tests := []struct {
+		name, body string
+		whole      bool
+	}{
+		{"whole", "data: {}\n\ndata: [DONE]\n\n", true},
+		{"whole with CRLF and a comment", "data: {}\r\n\r\ndata:[DONE]\r\n\r\n: bye", true},
+		{"between two events", "data: {}\n\n", false},
+		{"inside an event", "data: {}\n\ndata: {\"cho", false},
+		{"inside the last event", "data: {}\n\ndata: [DONE]\n", false},
+		{"no event", "", false},
+		{"the mark inside an event", "data: {\"content\": \"data: [DONE]\"}\n\n", false},
+	}
+	for _, test := range tests {
+		w := httptest.NewRecorder()
+		out := &eventSink{w: w, stream: (&server.Server{}).Stream(w)}
+		out.writeHeader(http.StatusOK, "text/event-stream; charset=utf-8")
+		for i := range len(test.body) {
+			if err := out.write([]byte(test.body[i : i+1])); err != nil {
+				t.Fatalf("%s: %v", test.name, err)
+			}
+		}
+		err := out.end()
+		if test.whole != (err == nil) {
+			t.Errorf("%s: got %v, want a whole answer %v", test.name, err, test.whole)
+		}
+		if err != nil && (sinkOutcome(err).fault == nil || sinkOutcome(err).isFinal) {
+			t.Errorf("%s: got %+v, want a failure that another attempt may mend", test.name, sinkOutcome(err))
+		}
+	}
+	for body, whole := range map[string]bool{`{"id": "x"}`: true, `{"id": "x`: false, "": false} {
+		out := &bufferSink{isJSON: true}
+		out.writeHeader(http.StatusOK, "application/json")
+		if err := out.write([]byte(body)); err != nil {
+			t.Fatal(err)
+		}
+		if err := out.end(); whole != (err == nil) {
+			t.Errorf("%q: got %v, want a whole answer %v", body, err, whole)
+		}
+	}
+}
+
+// TestErrorAnswerOfStream checks that an answer to a stream request that is no stream is passed on with its status.
+func TestErrorAnswerOfStream(t *testing.T) {
+	w := httptest.NewRecorder()
+	out := &eventSink{w: w, stream: (&server.Server{}).Stream(w)}
+	out.writeHeader(http.StatusBadRequest, "application/json")
+	if err := out.write([]byte(`{"error": "x"}`)); err != nil {
+		t.Fatal(err)
+	}
+	if out.hasDelivered() {
+		t.Error("a part of the answer was sent")
+	}
+	if err := out.end(); err != nil {
+		t.Fatal(err)
+	}
+	if w.Code != http.StatusBadRequest || w.Body.String() != `{"error": "x"}` || w.Header().Get("Content-Type") != "application/json" {
+		t.Errorf("got %d %v %q", w.Code, w.Header(), w.Body)
+	}
+}
--- a/io/entry/transfer.go
+++ b/io/entry/transfer.go
@@ -183,5 +183,8 @@
 		return &end
 	}
 	t.attempt.sendControl(frame.Consumed, t.received)
+	if err := t.request.sink.end(); err != nil {
+		return sinkOutcome(err)
+	}
 	return &outcome{}
 }
