engine, store, vmlist, admin, entry: responses have a limit

A body was collected until the call's time-out, 2 to 10 s; an engine's head could have 10 MB for each of hundreds of calls.

Change: io/limit reads a body up to a limit and fails beyond it; io/client, the gate's peers, the agent's stored answers and platform's store use it in place of their own forms, two of which cut the body and left the error to the decoder.

--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -13,9 +12,14 @@
 
 	"pimentoseam/core/event"
 	"pimentoseam/core/report"
+	"pimentoseam/io/limit"
 )
 
-const callTimeout = 10 * time.Second
+const (
+	callTimeout = 10 * time.Second
+	// maxResponseBytes limits a response, which holds at most a configuration or the events of all processes.
+	maxResponseBytes = 64 << 20
+)
 
 // Error reports a call that was rejected, with Status and Text, or that got no valid response, with Cause. With Cause
 // set, a submission may have taken effect.
@@ -132,7 +136,7 @@
 		return nil, &Error{Path: path, Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := limit.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, &Error{Path: path, Cause: err}
 	}
--- a/io/agent/nonrepeatable.go
+++ b/io/agent/nonrepeatable.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -10,6 +9,7 @@
 	"pimentoseam/core/dedup"
 	"pimentoseam/core/fault"
 	"pimentoseam/core/frame"
+	"pimentoseam/io/limit"
 )
 
 const maxStoredAnswer = 1 << 20 // bytes
@@ -100,8 +100,8 @@
 
 // storeAnswer reads the whole answer, so that it can be sent again for the same key.
 func (k *call) storeAnswer(answer *http.Response) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxStoredAnswer+1))
-	if err != nil || len(body) > maxStoredAnswer {
+	body, err := limit.ReadAll(answer.Body, maxStoredAnswer)
+	if err != nil {
 		k.agent.table.MarkUnknown(k.run.Key)
 		k.fail(fault.Unknown, "the answer ended early or is too large", 0)
 		return
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pimentoseam/io/limit"
 )
 
 // BadRequest reports a request whose request line or Host header would be malformed.
@@ -168,13 +170,13 @@
 }
 
 // Discard reads and drops the rest of the body, so that Close can return the connection to the pool. It gives up, with an
-// error, if that takes longer than timeout or if more than limit bytes are left.
-func (r *Response) Discard(limit int64, timeout time.Duration) error {
+// error, if that takes longer than timeout or if more than maxBytes are left.
+func (r *Response) Discard(maxBytes int64, timeout time.Duration) error {
 	if r.Framing() == Connection {
 		return nil // The connection can't be reused.
 	}
 	timer := time.AfterFunc(timeout, func() { _ = r.conn.SetReadDeadline(time.Unix(pastUnixTime, 0)) }) // Fails only on a closed connection.
-	_, err := r.ReadAll(limit)
+	_, err := r.ReadAll(maxBytes)
 	if !timer.Stop() {
 		r.complete = false // The deadline would break the connection's next read.
 	}
@@ -204,21 +206,7 @@
 
 var _ io.Reader = (*Response)(nil)
 
-// ReadAll returns the rest of the body; its error is a *BodyTooLarge if that exceeds limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(data)) > limit {
-		return nil, &BodyTooLarge{Limit: limit}
-	}
-	return data, err
-}
-
-// BodyTooLarge reports a response body larger than a limit in bytes.
-type BodyTooLarge struct {
-	Limit int64
-}
-
-// Error returns a text with the limit.
-func (e *BodyTooLarge) Error() string {
-	return "response body exceeds " + strconv.FormatInt(e.Limit, 10) + " bytes"
+// ReadAll returns the rest of the body; its error is a *limit.TooLarge if that exceeds maxBytes.
+func (r *Response) ReadAll(maxBytes int64) ([]byte, error) {
+	return limit.ReadAll(r, maxBytes)
 }
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"pimentoseam/core/frame"
+	"pimentoseam/io/limit"
 )
 
 const (
 	stateTimeout   = 2 * time.Second
 	commandTimeout = time.Minute
 	maxIdleConns   = 256
+	maxHeadBytes   = 64 << 10 // Limit of a response head. The default of net/http, 10 MB, is too much for hundreds of calls.
+	maxStateBytes  = 64 << 10 // Limit of a state.
 )
 
 // Error reports a failed call to the upstream; MaybeSent is true if the request may have reached the upstream.
@@ -55,10 +58,10 @@
 
 // New returns a Client for the upstream at addr.
 func New(addr netip.AddrPort) *Client {
-	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConns}
+	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}
 	// The transport repeats a call whose pooled connection breaks, so each call that must run at most once gets a
 	// new connection.
-	unpooled := &http.Transport{DisableKeepAlives: true}
+	unpooled := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		base:     "http://" + addr.String(),
 		pooled:   &http.Client{Transport: pooled},
@@ -153,7 +156,11 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	data, err := limit.ReadAll(resp.Body, maxStateBytes)
+	if err == nil {
+		err = json.Unmarshal(data, out)
+	}
+	if err != nil {
 		return &Error{Op: path, MaybeSent: true, Cause: err}
 	}
 	return nil
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
+
+	"pimentoseam/io/limit"
 )
 
+// maxPeerBytes limits a response of another process, which holds at most a configuration or a process's events.
+const maxPeerBytes = 16 << 20
+
 // PeerError reports a failed control request to another process.
 type PeerError struct {
 	URL    string
@@ -42,7 +46,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &PeerError{URL: url, Status: resp.StatusCode}
 	}
-	data, err := io.ReadAll(resp.Body)
+	data, err := limit.ReadAll(resp.Body, maxPeerBytes)
 	if err != nil {
 		return nil, &PeerError{URL: url, Cause: err}
 	}
--- a/io/gate/sync.go
+++ b/io/gate/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +11,7 @@
 	"pimentoseam/core/beat"
 	"pimentoseam/core/stamp"
 	"pimentoseam/io/follow"
+	"pimentoseam/io/limit"
 	"pimentoseam/io/proc"
 	"pimentoseam/platform"
 )
@@ -93,7 +93,7 @@
 		return false
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxShareBytes))
+	data, err := limit.ReadAll(resp.Body, maxShareBytes)
 	if err == nil && resp.StatusCode == http.StatusOK {
 		err = cbor.Unmarshal(data, into)
 	}
--- /dev/null
+++ b/io/limit/doc.go
@@ -0,0 +1,2 @@
+// Package limit reads responses whose size is limited.
+package limit
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -5,18 +5,21 @@
 	"context"
 	"encoding/json"
 	"expvar"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
+
+	"pimentoseam/io/limit"
 )
 
 const (
 	callTimeout    = 2 * time.Second
 	maxWatchTime   = 8 * time.Second // Maximum time for which the store holds a watch.
 	revisionHeader = "Kv-Revision"
+	// maxResponseBytes exceeds the largest value of the store, 1 MB.
+	maxResponseBytes = 2 << 20
 )
 
 // callCounts counts the calls to the store by result.
@@ -187,7 +190,7 @@
 		return nil, nil, &NoResponseError{Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := limit.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		callCounts.Add("lost", 1)
 		return nil, nil, &NoResponseError{Cause: err}
--- a/io/vmlist/client.go
+++ b/io/vmlist/client.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"pimentoseam/io/limit"
 )
 
 // State is the state of a VM in the platform's list.
@@ -53,7 +55,11 @@
 	etag    string // ETag of the last list that was read.
 }
 
-const callTimeout = 2 * time.Second
+const (
+	callTimeout = 2 * time.Second
+	// maxListBytes exceeds the list of 5,700 VMs, about 1 MB.
+	maxListBytes = 16 << 20
+)
 
 // New returns a Client for the list served at addr.
 func New(addr netip.AddrPort) *Client {
@@ -81,8 +87,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, false, &Error{}
 	}
+	data, err := limit.ReadAll(resp.Body, maxListBytes)
+	if err != nil {
+		return nil, false, &Error{Cause: err}
+	}
 	var vms []VM
-	if err := json.NewDecoder(resp.Body).Decode(&vms); err != nil {
+	if err := json.Unmarshal(data, &vms); err != nil {
 		return nil, false, &Error{Cause: err}
 	}
 	c.etag = resp.Header.Get("ETag")
