--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -76,4 +76,11 @@
 mutant no-era platform TestConditionOverEras platform/store.go 's/case resp\.era != known && dependsOnEra/case false \&\& dependsOnEra/'
 mutant copy-undoes core/member TestCopy core/member/set.go 's/d\.isUndoneBy\(u, revision\)/false/'
 mutant restored-plan io/gate TestRestoredPlan core/plan/plan.go 's/p\.Era == era \|\| roles/true || roles/'
+mutant trust-framing io/gate TestStreamEndsInsideEvent io/gate/relay.go 's/\treturn events\.End\(\)\n/\tif resp.Framing() == client.Connection {\n\t\treturn events.End()\n\t}\n\treturn nil\n/'
+mutant empty-stream io/gate TestStreamWithoutEvents io/gate/relay.go 's/events\.Count\(\) == 0 && x\.lastEventID == ""/false/'
+mutant first-length io/gate TestStreamOutlivesItsLength io/gate/relay.go 's/h\.Del\("Content-Length"\)/_ = h/'
+mutant endless-head io/client TestHeadLimit io/client/conn.go 's/if r\.headLeft <= 0/if false/'
+mutant endless-event core/stream TestEventWithoutEnd core/stream/splitter.go 's/size > MaxEventBytes/false/'
+mutant await-rest io/gate TestRefusalBodyStalls io/client/conn.go 's/if r\.Framing\(\) == Connection \{\n\t\treturn nil/if false {\n\t\treturn nil/; s/time\.AfterFunc\(timeout/time.AfterFunc(time.Hour/'
+mutant no-done io/entry TestShortAnswer io/entry/sink.go 's/if !s\.hasDone \{/if false {/'
 exit $bad
