member, gate: removed upstreams expire on time

What callers saw: requests sent to a replica that was gone.

Cause, shown by a test of our own: an upstream whose registration vanished without draining stays usable for a grace of 1.7 s if most of its service vanished. The grace was checked every 500 ms only, began up to 350 ms after the removal, and took no account of the drain time; so a request reached a removed upstream up to 2.2 s after its removal, where 2.0 s are allowed.

Change: the end of the grace is a timer, and without a recent outage of the list the grace ends 0.5 s before the drain time. After an outage it stays 1.7 s, since running replicas take that long to register again.

--- a/core/member/set.go
+++ b/core/member/set.go
@@ -56,9 +56,12 @@
 	// recentOutageWindow is how long after an outage of the list removed upstreams stay usable without further
 	// evidence. The platform takes about two seconds to list a running upstream again after an outage of the store.
 	recentOutageWindow = 2 * time.Second
-	// removalGrace is how long a removed upstream stays in the set in case it is listed again. It is
-	// shorter than the 2 s after which the platform requires that a leaving upstream gets no new work.
+	// removalGrace is how long a removed upstream stays in the set in case it is listed again. After an outage of the
+	// list, running upstreams are listed again within about two seconds.
 	removalGrace = 1700 * time.Millisecond
+	// removalReserve is the part of the drain time in which a removal becomes known, at most 350 ms later, and the last
+	// request is on its way.
+	removalReserve = 500 * time.Millisecond
 	// departureMemory is how long the departure of a run is remembered. Upstreams that leave exit within a minute.
 	departureMemory = time.Minute
 	// copyTimeout is how long an upstream that was removed stays out after an older copy of the list has brought its
@@ -69,8 +72,9 @@
 
 // Set is the membership of the platform's upstream list, tolerant of outages of the list.
 // The registration of an upstream that is removed without draining first may have expired only because the
-// list was unavailable. Such an upstream is retained for removalGrace, and is usable meanwhile after a recent outage
-// or if more upstreams of its service were removed than remain.
+// list was unavailable. Such an upstream is retained for removalGrace after a recent outage, otherwise for the drain time
+// less removalReserve if that is shorter. It is usable meanwhile after a recent outage or if more upstreams of its service
+// were removed than remain.
 //
 // Changes may arrive repeatedly and in any order, from the list and from other entries. Each carries the
 // list's revision as a stamp, and one that isn't newer than the last change of the same id is ignored.
@@ -163,8 +167,9 @@
 	Removed  Removal = "gone"  // The upstream was draining and is out of the set.
 )
 
-// Remove handles an upstream that the list no longer has at the given revision.
-func (s *Set) Remove(id string, revision int64) Removal {
+// Remove handles an upstream that the list no longer has at the given revision. An upstream that leaves must get no
+// requests after drainTime.
+func (s *Set) Remove(id string, revision int64, drainTime time.Duration) Removal {
 	r, ok := s.records[id]
 	if !s.advance(id, revision) || !ok {
 		return Ignored
@@ -175,7 +180,11 @@
 		return Removed
 	}
 	if r.expires.IsZero() {
-		r.expires = time.Now().Add(removalGrace)
+		grace := removalGrace
+		if !s.hadRecentOutage() {
+			grace = min(grace, drainTime-removalReserve)
+		}
+		r.expires = time.Now().Add(grace)
 	}
 	return Retained
 }
@@ -185,6 +194,23 @@
 	s.lastOutage = time.Now()
 }
 
+func (s *Set) hadRecentOutage() bool {
+	return !s.lastOutage.IsZero() && time.Since(s.lastOutage) <= recentOutageWindow
+}
+
+// NextExpiry returns the time of the next change by Expire, and false if there is none.
+func (s *Set) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for _, r := range s.records {
+		for _, t := range []time.Time{r.expires, r.held} {
+			if !t.IsZero() && (next.IsZero() || t.Before(next)) {
+				next = t
+			}
+		}
+	}
+	return next, !next.IsZero()
+}
+
 // Expire drops the retained upstreams whose grace is over and admits those that were held long enough. It returns the
 // ids of both.
 func (s *Set) Expire() []string {
@@ -235,7 +261,7 @@
 			removed[u.Service] = append(removed[u.Service], u)
 		}
 	}
-	recentOutage := !s.lastOutage.IsZero() && time.Since(s.lastOutage) <= recentOutageWindow
+	recentOutage := s.hadRecentOutage()
 	for service, list := range removed {
 		if recentOutage || len(list) > len(usable[service]) {
 			usable[service] = append(usable[service], list...)
--- a/core/member/set_test.go
+++ b/core/member/set_test.go
@@ -9,6 +9,9 @@
 	"pimentoseam/core/stamp"
 )
 
+// drainTime is how long after its removal an upstream may get requests.
+const drainTime = 2 * time.Second
+
 func upstream(id string) *member.Upstream {
 	return &member.Upstream{ID: id, Service: "s", State: member.Ready}
 }
@@ -29,7 +32,7 @@
 		s.RecordOutage()
 		time.Sleep(100 * time.Millisecond)
 		for _, id := range []string{"a", "b", "c"} {
-			if got := s.Remove(id, 5); got != member.Retained {
+			if got := s.Remove(id, 5, drainTime); got != member.Retained {
 				t.Fatalf("remove %s: got %s, want kept", id, got)
 			}
 		}
@@ -55,7 +58,7 @@
 		for _, id := range []string{"a", "b", "c"} {
 			s.Put(upstream(id), 1)
 		}
-		s.Remove("a", 2)
+		s.Remove("a", 2, drainTime)
 		if usable(s) != 2 {
 			t.Errorf("one of three removed without an outage: %d usable, want 2", usable(s))
 		}
@@ -65,17 +68,56 @@
 		if usable(s) != 1 {
 			t.Errorf("one leaving: %d usable, want 1", usable(s))
 		}
-		if got := s.Remove("b", 4); got != member.Removed {
+		if got := s.Remove("b", 4, drainTime); got != member.Removed {
 			t.Errorf("remove one that was leaving: got %s, want gone", got)
 		}
 		// Losing most of a service at once counts as expired registrations, even if no call to the list has failed.
-		s.Remove("c", 5)
+		s.Remove("c", 5, drainTime)
 		if usable(s) == 0 {
 			t.Error("last upstream removed: none usable, want it usable during the grace")
 		}
 	})
 }
 
+// TestRemovalGrace guards against upstreams that get requests after their drain time, and checks that an outage of the list
+// gives their registrations the time to come back.
+func TestRemovalGrace(t *testing.T) {
+	tests := []struct {
+		name             string
+		drainTime, grace time.Duration
+		outage           bool
+	}{
+		{"short drain time", 2 * time.Second, 1500 * time.Millisecond, false},
+		{"long drain time", 5 * time.Second, 1700 * time.Millisecond, false},
+		{"outage", 2 * time.Second, 1700 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			s := member.New()
+			s.Put(upstream("a"), 1)
+			if _, ok := s.NextExpiry(); ok {
+				t.Errorf("%s: an expiry before the removal", test.name)
+			}
+			if test.outage {
+				s.RecordOutage()
+			}
+			time.Sleep(100 * time.Millisecond)
+			s.Remove("a", 2, test.drainTime)
+			if next, ok := s.NextExpiry(); !ok || time.Until(next) != test.grace {
+				t.Errorf("%s: expires in %v, want %v", test.name, time.Until(next), test.grace)
+			}
+			time.Sleep(test.grace - time.Millisecond)
+			if s.Expire(); usable(s) != 1 {
+				t.Errorf("%s: %d usable before the end, want 1", test.name, usable(s))
+			}
+			time.Sleep(time.Millisecond)
+			if s.Expire(); usable(s) != 0 {
+				t.Errorf("%s: %d usable at the end, want 0", test.name, usable(s))
+			}
+		})
+	}
+}
+
 // TestOrder applies changes late and repeatedly, as gossip from other entries does.
 func TestOrder(t *testing.T) {
 	s := member.New()
@@ -88,7 +130,7 @@
 	if usable(s) != 0 {
 		t.Error("a leaving upstream is usable after an older state was applied")
 	}
-	s.Remove("a", 12)
+	s.Remove("a", 12, drainTime)
 	if s.Put(upstream("a"), 11) || usable(s) != 0 {
 		t.Error("an older state restored a removed upstream")
 	}
@@ -114,8 +156,8 @@
 		draining := registered("draining", 1, 5)
 		draining.State = member.Draining
 		s.Put(draining, stamp.Join(1, 20))
-		s.Remove("removed", stamp.Join(1, 21))
-		s.Remove("restarted", stamp.Join(1, 22))
+		s.Remove("removed", stamp.Join(1, 21), drainTime)
+		s.Remove("restarted", stamp.Join(1, 22), drainTime)
 		time.Sleep(2 * time.Second)
 		s.Expire()
 		if usable(s) != 0 {
@@ -141,7 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := member.New()
 		s.Put(upstream("a"), stamp.Join(1, 10))
-		s.Remove("a", stamp.Join(1, 11))
+		s.Remove("a", stamp.Join(1, 11), drainTime)
 		time.Sleep(2 * time.Second)
 		s.Expire()
 		s.Put(upstream("a"), stamp.Join(2, 10))
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -79,6 +79,7 @@
 	memberSet      *member.Set         // The upstreams of the list, and removed ones in their grace.
 	storeList      upstreamList        // The list in the store as last known, with recent removals.
 	membersKnown   bool                // The upstream list has been read.
+	expiry         *time.Timer         // Calls expireMembers; nil before the first removal.
 	leaving        *leave.Set          // The upstreams that have stated that they leave.
 	beatPrefixes   []beat.CachedPrefix // Prefixes for the next beat.
 	alertPaces     []alert.Pace        // Speeds of engines for the next alert.
@@ -250,7 +251,7 @@
 }
 
 // sweep periodically closes idle connections that have expired or that upstreams have closed, records an outage of
-// the upstream list while the store is unavailable, and drops removed upstreams whose grace is over.
+// the upstream list while the store is unavailable.
 func (g *Gate) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		proc.Sleep(ctx, sweepInterval)
@@ -258,7 +259,11 @@
 		if g.watchMembers.IsUnavailable() {
 			g.recordListOutage()
 		}
-		g.expireMembers()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.expiry != nil {
+		g.expiry.Stop()
 	}
 }
 
--- a/io/gate/members.go
+++ b/io/gate/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"pimentoseam/core/beat"
 	"pimentoseam/core/member"
@@ -142,7 +143,7 @@
 // removeMember records that the list no longer has the upstream, unless a newer change is known. The set keeps an
 // upstream that wasn't draining for the removal grace. The lock must be held.
 func (g *Gate) removeMember(id string, revision int64) {
-	outcome := g.memberSet.Remove(id, revision)
+	outcome := g.memberSet.Remove(id, revision, g.settings().DrainTime.Duration())
 	if outcome == member.Ignored {
 		return
 	}
@@ -192,4 +193,16 @@
 		}
 	}
 	g.snapshot.Store(s)
+	if next, ok := g.memberSet.NextExpiry(); ok {
+		g.scheduleExpiry(time.Until(next))
+	}
+}
+
+// scheduleExpiry calls expireMembers after d in place of any earlier schedule; the lock must be held.
+func (g *Gate) scheduleExpiry(d time.Duration) {
+	if g.expiry == nil {
+		g.expiry = time.AfterFunc(d, g.expireMembers)
+		return
+	}
+	g.expiry.Reset(d)
 }
