gate: the soak cuts answers inside events and sends bytes without end

Upstreams of the soak now also end a response inside an event, framed by length, chunks or the connection, send a head without end, and reject without the rest of the body.

--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -315,7 +315,7 @@
 		if random.IntN(2) == 0 {
 			r = c.engines[random.IntN(numEngines)]
 		}
-		r.SetHandler(faultyHandler(r, random.IntN(5)))
+		r.SetHandler(faultyHandler(r, random.IntN(8)))
 		pause(200, 2500)
 		r.SetHandler(nil)
 	case 7:
@@ -341,7 +341,7 @@
 	}
 }
 
-// faultyHandler returns a handler with one of five faults.
+// faultyHandler returns a handler with one of eight faults.
 func faultyHandler(r *simop.Replica, kind int) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		switch kind {
@@ -360,10 +360,40 @@
 			w.Header().Set("X-Attempt-Id", "other")
 			w.Header().Set("X-Response-Seal", r.ID+".other")
 			_, _ = io.WriteString(w, "other") // Fails only if the gate has closed the connection.
+		case 5: // The request ran, but its response is cut.
+			r.ServeDefault(&discardWriter{header: make(http.Header)}, req)
+			cutResponse(r, w, req)
+		case 6: // Bytes without end.
+			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				flood(conn, "HTTP/1.1 200 OK\r\n", "X-More: x\r\n")
+				_ = conn.Close() // The gate has closed it.
+			}
+		case 7: // A rejection whose body never comes.
+			answerHalf("HTTP/1.1 503 Full\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\nContent-Length: 9\r\n\r\n")(w, req)
 		}
 	}
 }
 
+// cutResponse sends half a response. That of an engine ends inside an event, framed as if it were complete; that of a plain
+// service has no length and is reset.
+func cutResponse(r *simop.Replica, w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("X-Attempt-Id")
+	seal := "X-Response-Seal: " + r.ID + "." + id
+	if r.Stage() != "" {
+		text := frameBody(framings[len(id)%len(framings)], "id: 1\ndata: x\n\nid: 2\nda")
+		answerRaw(strings.Replace(text, "X-Response-Seal: s", seal, 1))(w, req)
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\n"+seal+"\r\n\r\nPOST") // Fails only if the gate has closed it.
+	time.Sleep(10 * time.Millisecond)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
 // discardWriter is an http.ResponseWriter that discards the response.
 type discardWriter struct {
 	header http.Header
