gate, budget: a silent engine's work is given up only for another engine

What callers got in the test: a stream whose events come 1.4 s apart was cut after the first one.

Cause: an engine from which nothing comes for 1 s beyond the expected time counts as stalled, and its work on a repeatable request was cancelled, also where no other engine could take it or the retry budget was spent. Then the caller got nothing at all.

Ruled out: watching each stream by itself. A preempted stream on a live engine is silent too, and a second run would cost its prompt again.

TestSlowStream failed before (1 of 2 cases, 'id: 1' alone), passes now. TestDrippingStream passed at once: a stream that drips ends at its route's timeout. TestSilentStream and TestStandstill, where engines are truly silent, pass as before.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -60,11 +60,27 @@
 	b.current().requests++
 }
 
+// HasRetry reports whether AllowRetry would permit a retry now; it counts nothing.
+func (b *Budget) HasRetry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasRetry(b.current())
+}
+
 // AllowRetry reports whether a request may be sent again and counts the retry if so.
 func (b *Budget) AllowRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.current()
+	if !b.hasRetry(current) {
+		return false
+	}
+	current.retries++
+	return true
+}
+
+// hasRetry reports whether the window that ends with the current bucket has a retry left.
+func (b *Budget) hasRetry(current *bucket) bool {
 	requests, retries := 0, 0
 	for _, k := range b.buckets {
 		if k.index > current.index-int64(len(b.buckets)) {
@@ -73,11 +89,7 @@
 		}
 	}
 	allowed := (b.ratio*float64(requests) + b.slack/float64(b.entries)) * (1 - safetyMargin)
-	if float64(retries+1) > allowed {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= allowed
 }
 
 // current returns the bucket of the current time, emptied if it held an older one.
--- a/io/gate/ending_test.go
+++ b/io/gate/ending_test.go
@@ -312,3 +312,64 @@
 		})
 	}
 }
+
+// TestSlowStream guards against cutting a stream that is slow but sound.
+func TestSlowStream(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	d := newReplica(t, "d-1", "lm", "decode")
+	d.SetStream(5, 1400*time.Millisecond, 0)
+	g := startGate(t, store, "", d)
+	g.waitReady(t)
+	for _, path := range []string{"/fixed/x", "/model/x"} {
+		t.Run(path, func(t *testing.T) {
+			id := "slow" + path[1:2]
+			resp, body := g.call(t, "POST", path, id, "X-Token-Counts", "100,40")
+			if resp == nil || strings.Count(body, "id: ") != 5 {
+				t.Errorf("got %v %q, want five events", resp, body)
+			}
+			if n := d.Runs(id); n != 1 {
+				t.Errorf("the request ran %d times, want once", n)
+			}
+		})
+	}
+}
+
+// TestDrippingStream guards against a stalled stream that sends a byte now and then and never ends.
+func TestDrippingStream(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	d := newReplica(t, "d-1", "lm", "decode")
+	closed := make(chan time.Time, 1)
+	d.SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		data := strings.ReplaceAll(frameBody("connection", "id: 1\ndata: x\n\n"), "ID", r.Header.Get("X-Attempt-Id"))
+		for ; err == nil; time.Sleep(100 * time.Millisecond) {
+			_, err = io.WriteString(conn, data)
+			data = ":"
+		}
+		closed <- time.Now()
+	})
+	g := startGate(t, store, "", d)
+	g.waitReady(t)
+	const timeout = 8 * time.Second // Of the route.
+	began := time.Now()
+	resp, body := g.call(t, "POST", "/fixed/x", "drip", "X-Token-Counts", "100,40")
+	if took := time.Since(began); resp != nil || took > timeout+500*time.Millisecond {
+		t.Errorf("got %v %q after %v, want an incomplete stream within %v", resp, body, took, timeout)
+	}
+	select {
+	case at := <-closed:
+		if after := at.Sub(began); after > timeout+time.Second {
+			t.Errorf("the upstream's connection was closed after %v", after)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the upstream's connection is still open")
+	}
+}
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -210,7 +211,7 @@
 	attemptCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	if x.route.IsRepeatable() && x.possibleRuns+1 < x.route.MaxAttempts {
-		go decodeEngine.watchStall(attemptCtx, delay, stop)
+		go decodeEngine.watchStall(attemptCtx, delay, x.canRepeat(decodeEngine), stop)
 	}
 	began := time.Now()
 	outcome := x.attempt(attemptCtx, decodeEngine, dispatch)
@@ -278,6 +279,24 @@
 	g.log.Info("freed", "id", request, "upstream", instance, "handle", handle.ID, "status", status, "err", err)
 }
 
+// canRepeat returns a function that reports whether the request could be sent to an engine other than the present one and
+// those already tried. A silent engine may only be slow, so its work is not given up for nothing.
+func (x *exchange) canRepeat(present *upstream) func() bool {
+	tried := maps.Clone(x.tried) // The function runs beside the attempt.
+	tried[present] = true
+	return func() bool {
+		if !x.budget.HasRetry() {
+			return false
+		}
+		for _, u := range x.gate.snapshot.Load().services[x.service] {
+			if !tried[u] && u.isUsable() && !u.isLeaving() && u.info.Load().Role != member.Prefill {
+				return true
+			}
+		}
+		return false
+	}
+}
+
 // handleStall reports whether an attempt was cancelled because its engine stalled. If so, it opens the engine's
 // circuit breaker.
 func (x *exchange) handleStall(ctx context.Context, u *upstream, id string, began time.Time) bool {
@@ -303,7 +322,7 @@
 	possibleRuns, delivered, began := x.possibleRuns, x.delivered, time.Now()
 	attemptCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	go prefillEngine.watchStall(attemptCtx, choice.PrefillTime, stop)
+	go prefillEngine.watchStall(attemptCtx, choice.PrefillTime, x.canRepeat(prefillEngine), stop)
 	resp, outcome := x.roundTrip(attemptCtx, prefillEngine, dispatch)
 	x.prefillSent = x.prefillSent || x.delivered > delivered
 	if resp == nil {
