gate: a resumed stream isn't complete without any event either

A caller that resumed after event 3 at an engine that failed before its first event got an empty rest as complete.

The check of that a resumed stream may get an empty rest stays, but by chunks: there the upstream states the end. By its connection alone it states nothing, so that row was wrong, and the new one is the stricter: no stream ends as complete without an event or a statement.

--- a/io/gate/ending_test.go
+++ b/io/gate/ending_test.go
@@ -305,9 +305,13 @@
 			if resp, got := g.call(t, "POST", "/fixed/x", "n1", "X-Token-Counts", "100,40"); resp != nil && resp.StatusCode == http.StatusOK {
 				t.Errorf("the caller got %q as a complete stream", got)
 			}
-			// A caller that has all events resumes for the end alone.
-			if resp, _ := g.call(t, "POST", "/model/x", "n2", "X-Token-Counts", "100,40", "Last-Event-Id", "40"); resp == nil || resp.StatusCode != http.StatusOK {
-				t.Errorf("resumed: got %v, want an empty rest", resp)
+			if resp, got := g.call(t, "POST", "/model/x", "n2", "X-Token-Counts", "100,40", "Last-Event-Id", "3"); resp != nil && resp.StatusCode == http.StatusOK {
+				t.Errorf("resumed: the caller got %q as a complete rest", got)
+			}
+			// A caller that has all events resumes for the end alone, which the upstream states.
+			d.SetHandler(answerRaw(frameBody("chunks", "")))
+			if resp, _ := g.call(t, "POST", "/model/x", "n3", "X-Token-Counts", "100,40", "Last-Event-Id", "40"); resp == nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("resumed at the end: got %v, want an empty rest", resp)
 			}
 		})
 	}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -165,7 +165,7 @@
 		}
 		x.events = sentBefore + events.Count()
 		if errors.Is(err, io.EOF) {
-			if incomplete := x.checkEnd(resp, events); incomplete != nil {
+			if incomplete := checkEnd(resp, events); incomplete != nil {
 				err = incomplete
 			}
 		}
@@ -190,10 +190,9 @@
 }
 
 // checkEnd returns an error if a stream whose body has ended is not complete. An upstream that fails may end its body
-// properly, and the end of its connection without any event tells nothing. Only a caller that has events already can
-// get an empty rest.
-func (x *exchange) checkEnd(resp *client.Response, events *stream.Splitter) error {
-	if resp.Framing() == client.Connection && events.Count() == 0 && x.lastEventID == "" {
+// properly, and the end of its connection alone, without any event, says nothing.
+func checkEnd(resp *client.Response, events *stream.Splitter) error {
+	if resp.Framing() == client.Connection && events.Count() == 0 {
 		return io.ErrUnexpectedEOF
 	}
 	return events.End()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,7 +77,7 @@
 mutant copy-undoes core/member TestCopy core/member/set.go 's/d\.isUndoneBy\(u, revision\)/false/'
 mutant restored-plan io/gate TestRestoredPlan core/plan/plan.go 's/p\.Era == era \|\| roles/true || roles/'
 mutant trust-framing io/gate TestStreamEndsInsideEvent io/gate/relay.go 's/\treturn events\.End\(\)\n/\tif resp.Framing() == client.Connection {\n\t\treturn events.End()\n\t}\n\treturn nil\n/'
-mutant empty-stream io/gate TestStreamWithoutEvents io/gate/relay.go 's/events\.Count\(\) == 0 && x\.lastEventID == ""/false/'
+mutant empty-stream io/gate TestStreamWithoutEvents io/gate/relay.go 's/events\.Count\(\) == 0/false/'
 mutant first-length io/gate TestStreamOutlivesItsLength io/gate/relay.go 's/h\.Del\("Content-Length"\)/_ = h/'
 mutant endless-head io/client TestHeadLimit io/client/conn.go 's/if r\.headLeft <= 0/if false/'
 mutant endless-event core/stream TestEventWithoutEnd core/stream/splitter.go 's/size > MaxEventBytes/false/'
