--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	BENCH=$${BENCH:-$(CURDIR)/bench} go test -count=1 -timeout 60m -run 'TestTable' -v ./core/trial ./io/fleet | grep -v -e '^ *---' -e '^=== '
 
 soak: build
-	SEED=$${SEED:-1} LENGTH=$${LENGTH:-3m} go test -count=1 -race -timeout 30m -run TestSoak -v ./io/fleet ./io/gate
+	SEED=$${SEED:-1} LENGTH=$${LENGTH:-3m} SIZE=$${SIZE:-1} go test -count=1 -race -timeout 30m -run TestSoak -v ./io/fleet ./io/gate
 
 mutants: build
 	scripts/mutants.sh
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -26,11 +26,12 @@
 )
 
 const (
-	numGates     = 4
-	numEngines   = 4
-	numApps      = 3
-	numCallers   = 8
-	streamEvents = 12
+	// The processes, upstreams and callers of TestSoak at size 1.
+	gatesPerSize   = 4
+	enginesPerSize = 4
+	appsPerSize    = 3
+	callersPerSize = 8
+	streamEvents   = 12
 	// recoveryTime is the time after the last fault in which all gates must serve again: half of the
 	// required recovery time of twelve seconds.
 	recoveryTime = 6 * time.Second
@@ -108,7 +109,8 @@
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
 // requests of unsafe routes run at most once, and not at all if they were rejected; responses are complete; no gate
 // returns to an older configuration; and requests are served again soon after the last fault. The environment
-// variables SEED and LENGTH set the random seed and the duration of the faults, KEEP a directory for the logs.
+// variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
+// directory for the logs.
 func TestSoak(t *testing.T) {
 	seed := uint64(1)
 	if s := os.Getenv("SEED"); s != "" {
@@ -124,11 +126,18 @@
 			t.Fatal(err)
 		}
 	}
-	t.Logf("seed %d, %v", seed, length)
-	c := newSoakCluster(t)
+	size := 1
+	if s := os.Getenv("SIZE"); s != "" {
+		var err error
+		if size, err = strconv.Atoi(s); err != nil || size < 1 || size > 32 {
+			t.Fatalf("SIZE=%s, want 1 to 32", s)
+		}
+	}
+	t.Logf("seed %d, %v, size %d", seed, length, size)
+	c := newSoakCluster(t, size)
 	stop := make(chan struct{})
 	var callers, faultSeries sync.WaitGroup
-	for i := range numCallers {
+	for i := range callersPerSize * size {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -159,8 +168,8 @@
 	c.verify(faultsEndedAt, recoveredAt)
 }
 
-// newSoakCluster builds the binary and starts a cluster without faults.
-func newSoakCluster(t *testing.T) *soakCluster {
+// newSoakCluster builds the binary and starts a cluster of a multiple of the default size without faults.
+func newSoakCluster(t *testing.T, size int) *soakCluster {
 	t.Helper()
 	dir := t.TempDir()
 	logs := dir
@@ -196,10 +205,10 @@
 		})
 		return p
 	}
-	for range numApps {
+	for range appsPerSize * size {
 		c.addApp(int(c.added.Add(1)))
 	}
-	for i := range numEngines {
+	for i := range enginesPerSize * size {
 		stage := []string{"prefill", "decode"}[i%2]
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", 1+i))
 		if err != nil {
@@ -216,7 +225,7 @@
 			Peer: netip.AddrPortFrom(e.Addr().Addr(), peer), Debug: freeAddrs(t, 1)[0],
 		}))
 	}
-	for i := range numGates {
+	for i := range gatesPerSize * size {
 		set := newSettings(t, c.store, "")
 		relay, err := simnet.New(c.store.Addr())
 		if err != nil {
@@ -282,7 +291,7 @@
 func (c *soakCluster) injectFault(random *rand.Rand, series int) {
 	pause := func(minMs, maxMs int) { time.Sleep(time.Duration(minMs+random.IntN(maxMs-minMs)) * time.Millisecond) }
 	// The two series select different processes, so none is killed or suspended twice at a time.
-	i := 2*random.IntN(numGates/2) + series
+	i := 2*random.IntN(len(c.gates)/2) + series
 	switch random.IntN(11) {
 	case 0:
 		c.gates[i].end(syscall.SIGKILL)
@@ -313,7 +322,7 @@
 	case 6:
 		r := c.randomApp(random).Replica
 		if random.IntN(2) == 0 {
-			r = c.engines[random.IntN(numEngines)]
+			r = c.engines[random.IntN(len(c.engines))]
 		}
 		r.SetHandler(faultyHandler(r, random.IntN(8)))
 		pause(200, 2500)
@@ -337,7 +346,7 @@
 			pause(10, 300)
 		}
 	case 10:
-		c.engines[random.IntN(numEngines)].Restart([]string{"prefill", "decode"}[random.IntN(2)])
+		c.engines[random.IntN(len(c.engines))].Restart([]string{"prefill", "decode"}[random.IntN(2)])
 	}
 }
 
@@ -422,7 +431,7 @@
 		case <-time.After(time.Duration(5+random.IntN(20)) * time.Millisecond):
 		}
 		id := fmt.Sprintf("c%d-%d", n, seq)
-		gate := random.IntN(numGates)
+		gate := random.IntN(len(c.gates))
 		starts := c.gates[gate].starts.Load()
 		version := c.version.Load()
 		result := callResult{id: id, at: time.Now()}
