--- a/io/gate/broken_test.go
+++ b/io/gate/broken_test.go
@@ -30,15 +30,6 @@
 // get all events or an incomplete body, never a short one that looks complete.
 func TestBrokenStream(t *testing.T) {
 	reset := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
-	hijack := func(text string) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err == nil {
-				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", r.Header.Get("X-Attempt-Id")))
-				_ = conn.Close()
-			}
-		}
-	}
 	tests := []struct {
 		name string
 		next http.HandlerFunc // Nil for no other engine.
@@ -56,8 +47,8 @@
 		{"no content", respond(204, "", "X-Response-Seal", "s")},
 		{"reset", reset},
 		{"another request's answer", respond(200, "id: 2\ndata: x\n\n", "X-Response-Seal", "s", "X-Attempt-Id", "other")},
-		{"no response in the protocol", hijack("\x00\x01 nonsense\r\n\r\n")},
-		{"half an event without a length", hijack("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n\r\nid: 2\nda")},
+		{"no response in the protocol", answerRaw("\x00\x01 nonsense\r\n\r\n")},
+		{"half an event without a length", answerRaw("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n\r\nid: 2\nda")},
 	}
 	for i, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/io/gate/ending_test.go
+++ b/io/gate/ending_test.go
@@ -38,6 +38,17 @@
 	return head + "\r\n" + body
 }
 
+// startWithEngine runs a gate with one engine.
+func startWithEngine(t *testing.T) (*testGate, *simop.Replica) {
+	t.Helper()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	d := newReplica(t, "d-1", "lm", "decode")
+	g := startGate(t, store, "", d)
+	g.waitReady(t)
+	return g, d
+}
+
 // framings are the ways in which the end of a body is marked.
 var framings = []string{"length", "chunks", "connection"}
 
@@ -103,12 +114,8 @@
 		for _, framing := range framings {
 			t.Run(name+" by "+framing, func(t *testing.T) {
 				t.Parallel()
-				store := newStore(t)
-				store.Put("op/config", config(1, 3000))
-				d := newReplica(t, "d-1", "lm", "decode")
+				g, d := startWithEngine(t)
 				d.SetHandler(answerRaw(frameBody(framing, body)))
-				g := startGate(t, store, "", d)
-				g.waitReady(t)
 				if resp, got := g.call(t, "POST", "/fixed/x", "w1", "X-Token-Counts", "100,40"); resp == nil || got != body {
 					t.Errorf("got %q, want %q as complete", got, body)
 				}
@@ -164,9 +171,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			store := newStore(t)
-			store.Put("op/config", config(1, 3000))
-			d := newReplica(t, "d-1", "lm", "decode")
+			g, d := startWithEngine(t)
 			closed := make(chan bool, 8)
 			d.SetHandler(func(w http.ResponseWriter, r *http.Request) {
 				conn, _, err := http.NewResponseController(w).Hijack()
@@ -176,8 +181,6 @@
 				defer conn.Close()
 				closed <- flood(conn, strings.ReplaceAll(answer[0], "ID", r.Header.Get("X-Attempt-Id")), answer[1])
 			})
-			g := startGate(t, store, "", d)
-			g.waitReady(t)
 			began := time.Now()
 			resp, body := g.call(t, "POST", "/fixed/x", "e1", "X-Token-Counts", "100,40")
 			if resp != nil && resp.StatusCode == http.StatusOK {
@@ -296,12 +299,8 @@
 	for name, body := range map[string]string{"nothing": "", "a comment": ": hello\n\n"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			store := newStore(t)
-			store.Put("op/config", config(1, 3000))
-			d := newReplica(t, "d-1", "lm", "decode")
+			g, d := startWithEngine(t)
 			d.SetHandler(answerRaw(frameBody("connection", body)))
-			g := startGate(t, store, "", d)
-			g.waitReady(t)
 			if resp, got := g.call(t, "POST", "/fixed/x", "n1", "X-Token-Counts", "100,40"); resp != nil && resp.StatusCode == http.StatusOK {
 				t.Errorf("the caller got %q as a complete stream", got)
 			}
@@ -320,12 +319,8 @@
 // TestSlowStream guards against cutting a stream that is slow but sound.
 func TestSlowStream(t *testing.T) {
 	t.Parallel()
-	store := newStore(t)
-	store.Put("op/config", config(1, 3000))
-	d := newReplica(t, "d-1", "lm", "decode")
+	g, d := startWithEngine(t)
 	d.SetStream(5, 1400*time.Millisecond, 0)
-	g := startGate(t, store, "", d)
-	g.waitReady(t)
 	for _, path := range []string{"/fixed/x", "/model/x"} {
 		t.Run(path, func(t *testing.T) {
 			id := "slow" + path[1:2]
@@ -343,9 +338,7 @@
 // TestDrippingStream guards against a stalled stream that sends a byte now and then and never ends.
 func TestDrippingStream(t *testing.T) {
 	t.Parallel()
-	store := newStore(t)
-	store.Put("op/config", config(1, 3000))
-	d := newReplica(t, "d-1", "lm", "decode")
+	g, d := startWithEngine(t)
 	closed := make(chan time.Time, 1)
 	d.SetHandler(func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
@@ -360,8 +353,6 @@
 		}
 		closed <- time.Now()
 	})
-	g := startGate(t, store, "", d)
-	g.waitReady(t)
 	const timeout = 8 * time.Second // Of the route.
 	began := time.Now()
 	resp, body := g.call(t, "POST", "/fixed/x", "drip", "X-Token-Counts", "100,40")
