--- a/core/member/set.go
+++ b/core/member/set.go
@@ -59,8 +59,7 @@
 	// removalGrace is how long a removed upstream stays in the set in case it is listed again. After an outage of the
 	// list, running upstreams are listed again within about two seconds.
 	removalGrace = 1700 * time.Millisecond
-	// removalReserve is the part of the drain time in which a removal becomes known, at most 350 ms later, and the last
-	// request is on its way.
+	// removalReserve is the part of the drain time for entries to learn of a removal and for the last request to arrive.
 	removalReserve = 500 * time.Millisecond
 	// departureMemory is how long the departure of a run is remembered. Upstreams that leave exit within a minute.
 	departureMemory = time.Minute
--- a/io/entry/sink.go
+++ b/io/entry/sink.go
@@ -104,6 +104,9 @@
 		}
 		return nil
 	}
+	if err := checkBody(s.status, s.body, true); err != nil {
+		return err
+	}
 	s.sendHeader()
 	_, err := s.stream.Write(s.body)
 	return err
@@ -158,7 +161,16 @@
 }
 
 func (s *bufferSink) end() error {
-	if s.isJSON && s.status == http.StatusOK && !json.Valid(s.body) {
+	return checkBody(s.status, s.body, s.isJSON)
+}
+
+// checkBody returns an *incompleteError if a collected answer is not whole: it has no status, or it is successful and must
+// be one JSON value but isn't.
+func checkBody(status int, body []byte, isJSON bool) error {
+	if status == 0 {
+		return &incompleteError{lacks: "status"}
+	}
+	if isJSON && status == http.StatusOK && !json.Valid(body) {
 		return &incompleteError{lacks: "end of the JSON value"}
 	}
 	return nil
--- a/io/entry/sink_test.go
+++ b/io/entry/sink_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -72,6 +73,26 @@
 	}
 }
 
+// TestAnswerWithoutHead guards against an answer that ends without a status, and a stream request's answer that is no
+// stream and was cut.
+func TestAnswerWithoutHead(t *testing.T) {
+	w := httptest.NewRecorder()
+	incomplete := new(incompleteError)
+	for _, s := range []sink{&bufferSink{}, &eventSink{w: w, stream: (&server.Server{}).Stream(w)}} {
+		if err := s.end(); !errors.As(err, &incomplete) {
+			t.Errorf("%T without a status: got %v, want an *incompleteError", s, err)
+		}
+	}
+	cut := &eventSink{w: w, stream: (&server.Server{}).Stream(w)}
+	cut.writeHeader(http.StatusOK, "application/json")
+	if err := cut.write([]byte(`{"id": "x`)); err != nil {
+		t.Fatal(err)
+	}
+	if err := cut.end(); !errors.As(err, &incomplete) || cut.hasDelivered() {
+		t.Errorf("half a JSON value: got %v, want an *incompleteError and nothing sent", err)
+	}
+}
+
 // TestErrorAnswerOfStream checks that an answer to a stream request that is no stream is passed on with its status.
 func TestErrorAnswerOfStream(t *testing.T) {
 	w := httptest.NewRecorder()
--- a/io/gate/removal_test.go
+++ b/io/gate/removal_test.go
@@ -33,6 +33,9 @@
 			store.Put("servers/"+r.ID, r.Registration("ready"))
 		}
 		time.Sleep(time.Duration(400+170*round) * time.Millisecond) // Removals at different times of the gate's periodic work.
+		if resp, _ := g.call(t, "GET", "/plain/x", fmt.Sprintf("before%d", round)); resp == nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("round %d: got %v before the removal, want a response", round, resp)
+		}
 		removed := time.Now()
 		for _, r := range replicas {
 			store.Remove("servers/" + r.ID)
@@ -41,7 +44,10 @@
 			g.call(t, "GET", "/plain/x", fmt.Sprintf("r%d-%d", round, i))
 			time.Sleep(10 * time.Millisecond)
 		}
-		if after := time.Unix(0, lastArrival.Load()).Sub(removed); after > drainTime {
+		switch after := time.Unix(0, lastArrival.Load()).Sub(removed); {
+		case after <= 0:
+			t.Errorf("round %d: no request reached an upstream after its removal, so that its end can't be seen", round)
+		case after > drainTime:
 			t.Errorf("round %d: a request reached an upstream %v after its removal, want at most %v", round, after, drainTime)
 		}
 	}
