gate: TestStandstill asks the stalled engine for certain

Traced: in that run's log all twelve prompts go to the other engine.

Change: the other engine takes the expected time, so that both cost the same, and the test goes on until the silent one was asked.

--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -467,9 +467,15 @@
 		requests.Add(1)
 		<-r.Context().Done()
 	})
+	// The other engine takes the expected time for a prompt. If it were faster, it would soon get all prompts.
+	const promptTime = 250 * time.Millisecond
+	p.SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(promptTime)
+		p.ServeDefault(w, r)
+	})
 	g := startGate(t, store, "", p, q, d)
 	g.waitReady(t)
-	for i := range 12 {
+	for i := 0; i < 12 || (requests.Load() == 0 && i < 40); i++ {
 		start := time.Now()
 		// Prefixes that are in no engine's KV cache, so that no engine is preferred.
 		headers := append([]string(nil), promptHeaders...)
