gate: logs state the parts of prompts

'placed', 'response from upstream ended early' and 'request to upstream failed' now have 'parts', at most eight ids of 20 characters.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -1,6 +1,9 @@
 package call
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Call holds what the headers of a caller's request state about it.
 type Call struct {
@@ -26,3 +29,21 @@
 	}
 	return c.Parts[:len(c.Parts)-1]
 }
+
+// maxLoggedParts and maxLoggedID limit what PartNames returns, since callers choose both.
+const (
+	maxLoggedParts = 8
+	maxLoggedID    = 20
+)
+
+// PartNames returns the comma-separated ids of the prompt's shared parts, shortened for logs.
+func (c *Call) PartNames() string {
+	var names []string
+	for _, p := range c.Shared() {
+		if len(names) == maxLoggedParts {
+			break
+		}
+		names = append(names, p.ID[:min(len(p.ID), maxLoggedID)])
+	}
+	return strings.Join(names, ",")
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -281,7 +281,7 @@
 // handleError updates the counters and the circuit breaker after a failed attempt and returns its outcome.
 func (x *exchange) handleError(ctx context.Context, u *upstream, err error) result {
 	id := u.info.Load().ID
-	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "upstream", id, "err", err, "took", time.Since(x.arrived))
+	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "upstream", id, "parts", x.call.PartNames(), "err", err, "took", time.Since(x.arrived))
 	var target *client.NoResponse
 	noResponse := errors.As(err, &target)
 	if noResponse {
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -34,7 +34,7 @@
 			return refused
 		}
 		x.gate.log.Info("placed", "id", x.call.ID, "read", engineID(choice.Prefill), "make", choice.Decode.ID, "fetch", engineID(choice.FetchFrom),
-			"delay", choice.Delay, "work", choice.PrefillTime, "prompt", x.call.PromptTokens, "shared", x.call.PromptTokens-x.unsharedTokens(), "held", reusedTokens(choice),
+			"delay", choice.Delay, "work", choice.PrefillTime, "prompt", x.call.PromptTokens, "shared", x.call.PromptTokens-x.unsharedTokens(), "held", reusedTokens(choice), "parts", x.call.PartNames(),
 			"priority", x.priority, "stated", x.call.Remaining, "config", x.table.Version, "loads", x.gate.peerState().age())
 		outcome = x.execute(ctx, service, choice, engines, prefixes)
 		if !x.mayRetry(ctx, outcome) {
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -182,7 +182,7 @@
 			u.breaker.Cancel()
 			return abandoned
 		case err != nil:
-			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "err", err)
+			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "parts", x.call.PartNames(), "err", err)
 			u.breaker.Failure()
 			return maybeRun
 		}
