--- /dev/null
+++ b/io/gate/crash_test.go
@@ -0,0 +1,313 @@
+package gate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pimentoseam/io/simop"
+)
+
+const (
+	contactTime  = 3 * time.Second        // Time in which all gates must know what one of them has seen.
+	restartTime  = 400 * time.Millisecond // Time that a crashed engine is down.
+	crashDelay   = 40 * time.Millisecond  // Time from the head of a response to the crash.
+	allowedCrash = 5                      // Crashes after which contactTime begins.
+	allowedAfter = 3                      // Requests with the part that may reach engines after that.
+	crashPart    = "bad0"
+)
+
+// crashFleet is a service's engines that crash when they begin to answer a prompt with crashPart, and start again at the same
+// address as another replica.
+type crashFleet struct {
+	t     *testing.T
+	store *simop.Store
+
+	mu       sync.Mutex
+	engines  []*simop.Replica // By slot.
+	started  int              // Number of engines that were ever started.
+	crashes  []time.Time
+	arrivals []time.Time // Of requests with crashPart, prefills included.
+	closed   bool
+}
+
+// newCrashFleet starts two prefill engines and some decode engines.
+func newCrashFleet(t *testing.T, store *simop.Store, decodeEngines int) *crashFleet {
+	f := &crashFleet{t: t, store: store, engines: make([]*simop.Replica, 2+decodeEngines)}
+	for slot := range f.engines {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.start(slot, l)
+	}
+	t.Cleanup(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.closed = true
+		for _, e := range f.engines {
+			e.Close()
+		}
+	})
+	return f
+}
+
+// start starts and registers a new engine in a slot.
+func (f *crashFleet) start(slot int, l net.Listener) {
+	stage := "decode"
+	if slot < 2 {
+		stage = "prefill"
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		_ = l.Close() // The test has ended.
+		return
+	}
+	f.started++
+	e := simop.NewReplica(fmt.Sprintf("e-%d", f.started), "lm", stage, simop.WithListener(l))
+	e.SetBorn(time.Now().UnixMilli())
+	e.SetStream(6, 15*time.Millisecond, 0)
+	e.SetHandler(func(w http.ResponseWriter, req *http.Request) { f.serve(slot, e, w, req) })
+	f.engines[slot] = e
+	f.store.Put("servers/"+e.ID, e.Registration("ready"))
+}
+
+// serve serves a request, and crashes the engine if it begins to answer a prompt with crashPart.
+func (f *crashFleet) serve(slot int, e *simop.Replica, w http.ResponseWriter, req *http.Request) {
+	if !strings.Contains(req.Header.Get("X-Prompt-Prefix"), crashPart) {
+		e.ServeDefault(w, req)
+		return
+	}
+	f.mu.Lock()
+	f.arrivals = append(f.arrivals, time.Now())
+	f.mu.Unlock()
+	if req.Header.Get("X-Stage") == "prefill" {
+		e.ServeDefault(w, req)
+		return
+	}
+	w.Header().Set("X-Response-Seal", e.ID+"."+req.Header.Get("X-Attempt-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // Fails only if the gate has disconnected.
+	time.Sleep(crashDelay)
+	f.crash(slot, e)
+}
+
+// crash ends the engine of a slot unless it has ended already, and starts another one later.
+func (f *crashFleet) crash(slot int, e *simop.Replica) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.engines[slot] != e || f.closed || f.crashed(e) {
+		return
+	}
+	f.crashes = append(f.crashes, time.Now())
+	addr := e.Addr()
+	go func() {
+		e.Crash()
+		time.Sleep(restartTime)
+		f.store.Remove("servers/" + e.ID)
+		l, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			f.t.Errorf("engine not started again: %v", err)
+			return
+		}
+		f.start(slot, l)
+	}()
+}
+
+// crashed marks an engine as ended and reports whether it was before; the lock must be held.
+func (f *crashFleet) crashed(e *simop.Replica) bool {
+	was := e.Stage() == ""
+	e.Restart("")
+	return was
+}
+
+// numCrashes returns the number of crashes.
+func (f *crashFleet) numCrashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashes)
+}
+
+// arrivalsAfter returns the number of requests with crashPart that arrived after a time.
+func (f *crashFleet) arrivalsAfter(at time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, arrival := range f.arrivals {
+		if arrival.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// startCluster runs gates of one store in two zones.
+func startCluster(t *testing.T, store *simop.Store, n int) []*testGate {
+	t.Helper()
+	var gates []*testGate
+	for i := range n {
+		set := newSettings(t, store, "")
+		set.Name = fmt.Sprintf("gate-%d-%d", i, set.Listen.Port())
+		set.Zone = []string{"z", "z", "y"}[i%3]
+		if i > 0 {
+			set.Seeds = gates[0].set.Share.String()
+			set.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + i)}), gates[0].set.Peer.Port())
+		}
+		gates = append(gates, startWithSettings(t, store, set))
+	}
+	for _, g := range gates {
+		g.waitReady(t)
+	}
+	return gates
+}
+
+// prompt returns the headers of a prompt with the given shared parts and a part of its own.
+func prompt(id string, parts ...string) []string {
+	list := ""
+	for _, p := range parts {
+		list += p + ":200,"
+	}
+	return []string{"X-Model", "m", "X-Token-Counts", "700,20", "X-Prompt-Prefix", list + id + ":300", "X-Deadline-Remaining-Ms", "5000"}
+}
+
+// load sends prompts at a mean interval to random gates until stop is closed.
+func load(t *testing.T, gates []*testGate, interval time.Duration, stop <-chan struct{}, wait *sync.WaitGroup, next func(i int) (path string, parts []string), answered func(i, status int)) {
+	wait.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(interval/2 + rand.N(interval)):
+			}
+			wait.Go(func() {
+				path, parts := next(i)
+				id := fmt.Sprintf("%x", rand.Uint64())
+				resp, _ := gates[rand.N(len(gates))].call(t, "POST", path, id, prompt(id, parts...)...)
+				status := 0
+				if resp != nil {
+					status = resp.StatusCode
+				}
+				answered(i, status)
+			})
+		}
+	})
+}
+
+// TestPartThatCrashesEngines guards against prompts with one part that crash engine after engine.
+func TestPartThatCrashesEngines(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	fleet := newCrashFleet(t, store, 6)
+	gates := startCluster(t, store, 3)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	var sound, served, measuring atomic.Int64
+	paths := []string{"/fixed/x", "/model/x"}
+	load(t, gates, 120*time.Millisecond, stop, &wait, func(i int) (string, []string) {
+		return paths[i%2], []string{[]string{"aa", "ab"}[i/2%2], crashPart}
+	}, func(int, int) {})
+	load(t, gates, 25*time.Millisecond, stop, &wait, func(i int) (string, []string) {
+		return paths[i%2], []string{"aa", fmt.Sprintf("50%d", rand.N(40))}
+	}, func(_, status int) {
+		if measuring.Load() > 0 {
+			sound.Add(1)
+			if status == http.StatusOK {
+				served.Add(1)
+			}
+		}
+	})
+	eventually(t, 20*time.Second, "five crashes", func() bool { return fleet.numCrashes() >= allowedCrash })
+	fifth := time.Now()
+	time.Sleep(2 * contactTime)
+	measuring.Store(1)
+	time.Sleep(2 * time.Second)
+	close(stop)
+	wait.Wait()
+	t.Logf("%d crashes", fleet.numCrashes())
+	if n := fleet.arrivalsAfter(fifth.Add(contactTime)); n > allowedAfter {
+		t.Errorf("%d requests with the part reached engines later than %v after the fifth crash, want %d at most", n, contactTime, allowedAfter)
+	}
+	if 2*served.Load() < sound.Load() || sound.Load() < 20 {
+		t.Errorf("%d of %d sound prompts were served, want half at least of 20 or more", served.Load(), sound.Load())
+	}
+}
+
+// TestCrashesKeepSoundParts guards against crashes that have other causes shutting out the parts of prompts that were at the
+// engines.
+func TestCrashesKeepSoundParts(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	fleet := newCrashFleet(t, store, 4)
+	gates := startCluster(t, store, 2)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	paths := []string{"/fixed/x", "/model/x"}
+	subject := func(i int) string { return fmt.Sprintf("50%d", i%30) }
+	load(t, gates, 15*time.Millisecond, stop, &wait, func(i int) (string, []string) {
+		return paths[i%2], []string{"aa", subject(i)}
+	}, func(int, int) {})
+	for round := range 12 { // In turn, and all at once as in a loss of power.
+		for slot := range fleet.engines {
+			if round%3 == 0 || slot%len(fleet.engines) == round%len(fleet.engines) {
+				fleet.mu.Lock()
+				e := fleet.engines[slot]
+				fleet.mu.Unlock()
+				fleet.crash(slot, e)
+			}
+		}
+		time.Sleep(300*time.Millisecond + rand.N(300*time.Millisecond))
+	}
+	close(stop)
+	wait.Wait()
+	time.Sleep(2 * restartTime)
+	for i := range 30 {
+		for _, g := range gates {
+			id := fmt.Sprintf("after%d", i)
+			eventually(t, 3*time.Second, "served: part "+subject(i), func() bool {
+				resp, _ := g.call(t, "POST", "/model/x", id, prompt(id, "aa", subject(i))...)
+				return resp != nil && resp.StatusCode == http.StatusOK
+			})
+		}
+	}
+}
+
+// TestPartStaysOutOverRestart guards against gates that forget, in a restart of all of them, which part crashes engines.
+func TestPartStaysOutOverRestart(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	fleet := newCrashFleet(t, store, 6)
+	gates := startCluster(t, store, 2)
+	send := func(gates []*testGate, n int) {
+		for i := range n {
+			id := fmt.Sprintf("%x", rand.Uint64())
+			gates[i%len(gates)].call(t, "POST", "/fixed/x", id, prompt(id, "aa", crashPart)...)
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	send(gates, 8)
+	if fleet.numCrashes() == 0 {
+		t.Fatal("no engine crashed")
+	}
+	time.Sleep(contactTime)
+	for _, g := range gates {
+		g.stop()
+		err := <-g.done
+		g.done <- err // For the cleanup.
+	}
+	restarted := startCluster(t, store, 2)
+	time.Sleep(contactTime)
+	began := time.Now()
+	send(restarted, 6)
+	if n := fleet.arrivalsAfter(began); n > allowedAfter {
+		t.Errorf("%d requests with the part reached engines after the restart, want %d at most", n, allowedAfter)
+	}
+}
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -73,6 +73,12 @@
 	r.server.Close()
 }
 
+// Crash ends the replica as a crash of its process does: open connections are closed and new ones refused.
+func (r *Replica) Crash() {
+	_ = r.server.Listener.Close() // It may be closed already.
+	r.server.CloseClientConnections()
+}
+
 // SetHandler makes f serve requests instead of ServeDefault; nil restores the default.
 func (r *Replica) SetHandler(f http.HandlerFunc) {
 	r.mu.Lock()
