gate, blame: prompts with a part that crashes engines are refused at every entry

Cause: the failure is attributed to the engine only. The circuit breaker opens for the engine that ended, and the next request with the part goes to the next engine, on any entry. Ruled out: repeats by the entry (one engine a request in all histories).

Change: core/blame keeps which requests each crash may be due to and which parts were answered since; a part is blocked after three crashes at which a request with it was begun (five in other states), unless that many would be chance, given how many other prompts broke off and were answered. Entries tell each other crashes, answers and blocks in alerts; the leader keeps the blocks in the store, which entries read as they start and after a crash they saw. A crash is a closed connection and an address that refuses the next one: no partition, loss of power or planned stop. All state is bounded.

--- a/core/alert/alert.go
+++ b/core/alert/alert.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"pimentoseam/core/blame"
 	"pimentoseam/core/leave"
 )
 
@@ -12,12 +13,13 @@
 // Alert states what an entry knows, whether from itself or from other entries. Each alert replaces the previous one of
 // the same entry.
 type Alert struct {
-	Name      string      `cbor:"1,keyasint"`           // The sending entry.
-	ShareAddr string      `cbor:"2,keyasint"`           // The HTTP address that serves the configuration and the upstream list.
-	Era       int64       `cbor:"3,keyasint,omitempty"` // The newest known era of the store.
-	Members   int64       `cbor:"4,keyasint,omitempty"` // The stamp of the newest known change of the upstream list.
-	Leaving   []leave.Run `cbor:"5,keyasint,omitempty"` // The upstreams that have stated that they leave.
-	Paces     []Pace      `cbor:"6,keyasint,omitempty"` // Speeds of engines that this entry has seen since its last alert.
+	Name      string        `cbor:"1,keyasint"`           // The sending entry.
+	ShareAddr string        `cbor:"2,keyasint"`           // The HTTP address that serves the configuration and the upstream list.
+	Era       int64         `cbor:"3,keyasint,omitempty"` // The newest known era of the store.
+	Members   int64         `cbor:"4,keyasint,omitempty"` // The stamp of the newest known change of the upstream list.
+	Leaving   []leave.Run   `cbor:"5,keyasint,omitempty"` // The upstreams that have stated that they leave.
+	Paces     []Pace        `cbor:"6,keyasint,omitempty"` // Speeds of engines that this entry has seen since its last alert.
+	Blame     *blame.Report `cbor:"7,keyasint,omitempty"` // Crashes of engines and the parts of prompts that cause them; nil for none.
 }
 
 // MaxPaces is the maximum number of paces in an alert.
@@ -32,7 +34,7 @@
 
 // IsEmpty reports whether a states nothing that a beat doesn't.
 func (a *Alert) IsEmpty() bool {
-	return a.Era == 0 && len(a.Leaving) == 0 && len(a.Paces) == 0
+	return a.Era == 0 && len(a.Leaving) == 0 && len(a.Paces) == 0 && a.Blame.IsEmpty()
 }
 
 // BadAlert reports a datagram that can't be decoded as an Alert.
--- a/core/alert/alert_test.go
+++ b/core/alert/alert_test.go
@@ -10,6 +10,7 @@
 
 	"pimentoseam/core/alert"
 	"pimentoseam/core/beat"
+	"pimentoseam/core/blame"
 	"pimentoseam/core/leave"
 )
 
@@ -42,6 +43,28 @@
 	}
 }
 
+// goldenBlame is an alert with crashes, answers and blocked parts as released versions encode it.
+const goldenBlame = "a3016165026007a301818382070b18648282f582010282f48103028182021903e803818281021901f4"
+
+// TestGoldenBlame is TestGolden for crashes of engines.
+func TestGoldenBlame(t *testing.T) {
+	want := &alert.Alert{Name: "e", Blame: &blame.Report{
+		Crashes: []blame.Crash{{Run: leave.Run{Key: 7, Started: 11}, Age: 100, Suspects: []blame.Suspect{{Begun: true, Parts: []blame.Part{1, 2}}, {Parts: []blame.Part{3}}}}},
+		Answers: []blame.Answer{{Part: 2, Age: 1000}},
+		Blocks:  []blame.Block{{Parts: []blame.Part{2}, Age: 500}},
+	}}
+	if encoded := hex.EncodeToString(want.Encode()); encoded != goldenBlame {
+		t.Errorf("got encoding %s, want %s", encoded, goldenBlame)
+	}
+	data, err := hex.DecodeString(goldenBlame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := alert.Parse(data); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+}
+
 // TestUnknownField checks that an alert of a later version, with a field that this one doesn't know, decodes.
 func TestUnknownField(t *testing.T) {
 	data, err := cbor.Marshal(map[int]any{1: "e", 3: 4, 99: "new"})
@@ -75,6 +98,28 @@
 	if n := len(a.Encode()); n > 16<<10 {
 		t.Errorf("%d bytes, want 16 kB at most", n)
 	}
+	a.Blame = fullReport()
+	if n := len(a.Encode()); n > 48<<10 {
+		t.Errorf("%d bytes with a full report of crashes, want 48 kB at most", n)
+	}
+}
+
+// fullReport returns the largest report of crashes: all prompts have more parts than are kept, and none is answered.
+func fullReport() *blame.Report {
+	l := blame.New()
+	for n := range 100 {
+		c := blame.Crash{Run: leave.Run{Key: 1<<31 + uint32(n), Started: 1 << 41}}
+		for i := range 20 {
+			var parts []blame.Part
+			for k := range 20 {
+				parts = append(parts, 1<<63+blame.Part(n*1000+i*20+k))
+			}
+			c.Suspects = append(c.Suspects, blame.Suspect{Begun: true, Parts: parts})
+			l.Answered(parts)
+		}
+		l.Merge(&blame.Report{Crashes: []blame.Crash{c}, Blocks: []blame.Block{{Parts: c.Suspects[0].Parts[:16]}}})
+	}
+	return l.Report()
 }
 
 const alertEra = 1 << 20
--- /dev/null
+++ b/core/blame/report.go
@@ -0,0 +1,79 @@
+package blame
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentoseam/core/call"
+	"pimentoseam/core/leave"
+)
+
+// Part identifies a part of a prompt by the hash of its id.
+type Part uint64
+
+// Parts returns the parts of a prompt, up to maxParts of them.
+func Parts(parts []call.Part) []Part {
+	list := make([]Part, min(len(parts), maxParts))
+	for i := range list {
+		list[i] = Part(xxhash.Sum64String(parts[i].ID))
+	}
+	return list
+}
+
+// Suspect is a request that was at an engine when that crashed.
+type Suspect struct {
+	_     struct{} `cbor:",toarray"`
+	Begun bool     // The engine had begun to respond and sent no event yet.
+	Parts []Part   // The parts of its prompt.
+}
+
+// Crash is the unplanned end of one run of an engine.
+type Crash struct {
+	_        struct{}  `cbor:",toarray"`
+	Run      leave.Run // The run that ended.
+	Age      uint32    // Milliseconds since the crash.
+	Suspects []Suspect // The requests that may have caused it, the most suspect ones first.
+}
+
+// Answer states when an engine last answered a prompt with a part completely.
+type Answer struct {
+	_    struct{} `cbor:",toarray"`
+	Part Part
+	Age  uint32 // Milliseconds since the end of the answer.
+}
+
+// Block is a set of parts; a prompt that has all of them goes to no engine.
+type Block struct {
+	_     struct{} `cbor:",toarray"`
+	Parts []Part   // In ascending order.
+	Age   uint32   // Milliseconds since the parts were blocked.
+}
+
+// Report is what an entry tells the others.
+type Report struct {
+	Crashes []Crash  `cbor:"1,keyasint,omitempty"` // Recent crashes, the newest first.
+	Answers []Answer `cbor:"2,keyasint,omitempty"` // Answers to prompts with parts that are suspect or blocked.
+	Blocks  []Block  `cbor:"3,keyasint,omitempty"` // All blocks in force.
+}
+
+// IsEmpty reports whether r states nothing.
+func (r *Report) IsEmpty() bool {
+	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Blocks) == 0
+}
+
+// ageOf returns the milliseconds since a time.
+func ageOf(at time.Time) uint32 {
+	return uint32(max(0, time.Since(at)).Milliseconds())
+}
+
+// timeOf returns the time that was age milliseconds ago.
+func timeOf(age uint32) time.Time {
+	return time.Now().Add(-time.Duration(age) * time.Millisecond)
+}
+
+// String returns the hash in hexadecimal.
+func (p Part) String() string {
+	return strconv.FormatUint(uint64(p), 16)
+}
--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -99,6 +99,7 @@
 	_ = http.NewResponseController(w).Flush() // Fails only if the gate has disconnected.
 	time.Sleep(crashDelay)
 	f.crash(slot, e)
+	panic(http.ErrAbortHandler)
 }
 
 // crash ends the engine of a slot unless it has ended already, and starts another one later.
@@ -287,6 +288,13 @@
 	fleet := newCrashFleet(t, store, 6)
 	gates := startCluster(t, store, 2)
 	send := func(gates []*testGate, n int) {
+		stop := make(chan struct{})
+		var wait sync.WaitGroup
+		load(t, gates, 25*time.Millisecond, stop, &wait, func(int) (string, []string) {
+			return "/fixed/x", []string{"aa", fmt.Sprintf("50%d", rand.N(40))}
+		}, func(int, int) {})
+		defer wait.Wait()
+		defer close(stop)
 		for i := range n {
 			id := fmt.Sprintf("%x", rand.Uint64())
 			gates[i%len(gates)].call(t, "POST", "/fixed/x", id, prompt(id, "aa", crashPart)...)
--- a/io/gate/election.go
+++ b/io/gate/election.go
@@ -46,8 +46,9 @@
 // election is this entry's part in the election of the leader, which all entries take part in. It holds the lease
 // that allows this entry to write the plans, or tries to acquire it.
 type election struct {
-	gate  *Gate
-	lease platform.Lease // Not valid if this entry doesn't hold it.
+	gate    *Gate
+	lease   platform.Lease // Not valid if this entry doesn't hold it.
+	written writtenBlocks  // What this entry wrote as the leader.
 
 	mu           sync.Mutex
 	leaseEnd     time.Time // The lease can't expire in the store before this time.
@@ -109,7 +110,7 @@
 		l.gate.log.Info("leadership not gained", "err", err)
 		return
 	}
-	l.lease = lease
+	l.lease, l.written = lease, writtenBlocks{}
 	l.mu.Lock()
 	l.leaseEnd, l.plans = began.Add(ttl), make(map[string]*servicePlan)
 	l.mu.Unlock()
@@ -140,6 +141,7 @@
 			return
 		}
 		l.updatePlans(ctx)
+		l.writeBlocks(ctx)
 		proc.Sleep(ctx, planInterval)
 	}
 }
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -8,9 +8,11 @@
 	"strconv"
 	"time"
 
+	"pimentoseam/core/blame"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/call"
 	"pimentoseam/core/mean"
+	"pimentoseam/core/member"
 	"pimentoseam/core/route"
 	"pimentoseam/io/client"
 	"pimentoseam/io/proc"
@@ -43,7 +45,9 @@
 	maxStatedRemaining time.Duration // Largest remaining time that callers of the route stated recently; 0 if this one stated none.
 	decodeTime         *mean.Mean    // Mean time from the first event of a stream to its end.
 	priority           int           // 0 is the most urgent.
+	parts              []blame.Part  // The shared parts of the prompt.
 
+	sentAt       time.Time          // When the last attempt was sent.
 	sent         bool               // An upstream has received the request; further attempts are retries.
 	prefillSent  bool               // An engine has received a prefill request; further ones are retries.
 	delivered    int                // Number of attempts that reached an upstream.
@@ -69,6 +73,7 @@
 	maybeRun  result = "maybe run" // The request may have run; the caller has no complete response.
 	abandoned result = "abandoned" // The caller has disconnected or the deadline has passed.
 	refused   result = "refused"   // The caller has got a response that tells it when to retry.
+	blocked   result = "blocked"   // No further attempt is made, because prompts with the same parts crash engines.
 	// exhausted means that no further attempt is made, because the retry budget is used up or there is no engine to
 	// decode. An earlier attempt may have run.
 	exhausted result = "exhausted"
@@ -124,11 +129,14 @@
 		x.w.WriteHeader(code)
 		return
 	}
-	retryAfter := x.retryAfter()
-	// The reason covers every request that did not run: without a usable upstream, after too many rejections, or when
+	retryAfter, why := x.retryAfter(), "no upstream"
+	if left, ok := x.gate.blame.Blocked(x.parts); ok && outcome == blocked {
+		retryAfter, why = left, "its parts crash engines"
+	}
+	// "no upstream" covers every other request that did not run: without a usable upstream, after too many rejections, or when
 	// the retry budget or the time was used up.
 	x.count("refused")
-	log.Warn("refused", "why", "no upstream", "after", retryAfter)
+	log.Warn("refused", "why", why, "parts", x.call.PartNames(), "after", retryAfter)
 	setRetryAfter(x.w, retryAfter)
 	x.w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -216,6 +224,9 @@
 	if x.callerDisconnected() || ctx.Err() != nil {
 		return nil, abandoned
 	}
+	if _, ok := x.gate.blame.Blocked(x.parts); ok {
+		return nil, blocked
+	}
 	info := u.info.Load()
 	dispatch.Instance, x.lastUpstream = info.ID, info.ID
 	dispatch.Remaining = time.Until(x.deadline)
@@ -224,6 +235,7 @@
 		x.rejections++
 		return nil, notRun
 	}
+	x.sentAt = time.Now()
 	limit := 0
 	if service := x.table.Services[x.service]; service != nil {
 		limit = service.MaxConns / 2 // All callers of the upstream share MaxConns.
@@ -233,7 +245,7 @@
 		Header: platform.RequestHeader(x.r.Header, dispatch), Matches: x.matches,
 	}, limit)
 	if err != nil {
-		return nil, x.handleError(ctx, u, err)
+		return nil, x.handleError(ctx, u, info, err)
 	}
 	x.delivered++
 	u.lastReceived.Store(proc.Uptime())
@@ -279,8 +291,8 @@
 }
 
 // handleError updates the counters and the circuit breaker after a failed attempt and returns its outcome.
-func (x *exchange) handleError(ctx context.Context, u *upstream, err error) result {
-	id := u.info.Load().ID
+func (x *exchange) handleError(ctx context.Context, u *upstream, run *member.Upstream, err error) result {
+	id := run.ID
 	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "upstream", id, "parts", x.call.PartNames(), "err", err, "took", time.Since(x.arrived))
 	var target *client.NoResponse
 	noResponse := errors.As(err, &target)
@@ -295,6 +307,7 @@
 	var limitReached *client.LimitReached
 	switch {
 	case noResponse:
+		x.accuse(u, run, false, 0)
 		u.breaker.Failure()
 		return maybeRun
 	case errors.As(err, &limitReached):
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -14,6 +14,7 @@
 
 	"pimentoseam/core/alert"
 	"pimentoseam/core/beat"
+	"pimentoseam/core/blame"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/cached"
 	"pimentoseam/core/leave"
@@ -56,6 +57,7 @@
 	placer        *place.Placer
 	paces         *pace.Meter
 	cached        *cached.Map
+	blame         *blame.Ledger
 	meter         *meter.Meter
 	gossip        *gossip.Gossip
 	peerClient    *http.Client
@@ -85,6 +87,7 @@
 	alertPaces     []alert.Pace        // Speeds of engines for the next alert.
 	digestPrefixes []beat.CachedPrefix // Prefixes for the next digest of the zone.
 	newest         peerVersions
+	blocksRead     time.Time            // When the blocks in the store were last read after a crash.
 	upstreamStates map[string]*upstream // This gate's state for each upstream, by id.
 	budgets        map[string]*budget.Budget
 }
@@ -116,7 +119,7 @@
 	logHandler := logbuf.New(o.out)
 	g := &Gate{
 		file: o.file, logHandler: logHandler, log: slog.New(logHandler).With("process", settings.Name),
-		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), paces: pace.New(), cached: cached.New(), meter: meter.New(),
+		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), paces: pace.New(), cached: cached.New(), blame: blame.New(), meter: meter.New(),
 		memberSet: member.New(), leaving: leave.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
 		storeList: upstreamList{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		started:   time.Now(), newerBeats: make(chan *beat.Beat, 1),
@@ -215,6 +218,7 @@
 func (g *Gate) registerGauges() {
 	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
 	g.meter.Gauge("slowness", g.paces.Median)
+	g.meter.Gauge("blocked sets", func() float64 { return float64(len(g.blame.Blocks())) })
 	g.meter.Gauge("era", func() float64 { return float64(g.store.Era()) })
 	g.meter.Gauge("upstreams", func() float64 { return float64(len(g.snapshot.Load().byKey)) })
 	g.meter.Gauge("entries", func() float64 { return float64(g.gossip.NumEntries()) })
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -22,6 +22,9 @@
 
 // runModel sends the request to the engines of a service until one generates the complete output.
 func (x *exchange) runModel(ctx context.Context, service *route.Service) result {
+	if _, ok := x.gate.blame.Blocked(x.parts); ok {
+		return blocked
+	}
 	outcome := notRun
 	prefixes := cached.Prefixes(x.call.Model, x.call.Shared())
 	x.gate.prefillWork.Add(uint64(x.gate.paces.Median() * float64(x.gate.placer.PrefillTime(x.call.PromptTokens, x.unsharedTokens()).Milliseconds())))
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -74,7 +74,8 @@
 	}
 }
 
-// registerAndDiscover writes this entry's key under a new lease and adds the other entries in the store to the gossip.
+// registerAndDiscover writes this entry's key under a new lease, adds the other entries in the store to the gossip and reads
+// the blocked parts of prompts.
 func (g *Gate) registerAndDiscover(ctx context.Context, value []byte) (platform.Lease, error) {
 	lease, _, err := g.store.Grant(ctx, entryTTL)
 	if err != nil {
@@ -96,6 +97,9 @@
 		}
 		g.gossip.Add(p.Peer, p.Zone)
 	}
+	if _, err := g.readBlocks(ctx); err != nil {
+		return platform.Lease{}, err
+	}
 	return lease, nil
 }
 
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -175,6 +175,11 @@
 				x.writeHeader(resp)
 			}
 			u.breaker.Success()
+			if events.Count() > 0 {
+				x.gate.blame.Answered(x.parts)
+			} else {
+				x.accuse(u, info, true, 0) // An engine that crashes may end its body properly.
+			}
 			x.decodeTime.Add(time.Since(x.arrived) - x.timeToHead)
 			x.recordAnswered(resp)
 			return done
@@ -183,6 +188,7 @@
 			return abandoned
 		case err != nil:
 			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "parts", x.call.PartNames(), "err", err)
+			x.accuse(u, info, true, events.Count())
 			u.breaker.Failure()
 			return maybeRun
 		}
--- a/io/gate/reply.go
+++ b/io/gate/reply.go
@@ -84,13 +84,14 @@
 	g.alertPaces = nil
 	return &alert.Alert{
 		Paces: paces, Name: settings.Name, ShareAddr: settings.Share.String(), Era: g.store.Era(), Members: g.storeList.Revision,
-		Leaving: g.leaving.Runs(alert.MaxLeaving),
+		Leaving: g.leaving.Runs(alert.MaxLeaving), Blame: g.blame.Report(),
 	}
 }
 
 // HandleAlert handles an alert of another entry.
 func (g gossipSource) HandleAlert(a *alert.Alert) {
 	g.recordLeaving(a.Leaving, a.Name)
+	g.mergeBlame(a)
 	for _, p := range a.Paces {
 		g.paces.Observe(p.Key, float64(p.Percent)/100)
 	}
