--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,7 +17,6 @@
 const (
 	contactTime  = 3 * time.Second        // Time in which all gates must know what one of them has seen.
 	restartTime  = 400 * time.Millisecond // Time that a crashed engine is down.
-	crashDelay   = 40 * time.Millisecond  // Time from the head of a response to the crash.
 	allowedCrash = 5                      // Crashes after which contactTime begins.
 	allowedAfter = 3                      // Requests with the part that may reach engines after that.
 	crashPart    = "bad0"
@@ -75,31 +73,16 @@
 	e := simop.NewReplica(fmt.Sprintf("e-%d", f.started), "lm", stage, simop.WithListener(l))
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(6, 15*time.Millisecond, 0)
-	e.SetHandler(func(w http.ResponseWriter, req *http.Request) { f.serve(slot, e, w, req) })
+	e.SetCrash(crashPart, func(string) { f.recordArrival() }, func() { f.crash(slot, e) })
 	f.engines[slot] = e
 	f.store.Put("servers/"+e.ID, e.Registration("ready"))
 }
 
-// serve serves a request, and crashes the engine if it begins to answer a prompt with crashPart.
-func (f *crashFleet) serve(slot int, e *simop.Replica, w http.ResponseWriter, req *http.Request) {
-	if !strings.Contains(req.Header.Get("X-Prompt-Prefix"), crashPart) {
-		e.ServeDefault(w, req)
-		return
-	}
+// recordArrival records a request with crashPart.
+func (f *crashFleet) recordArrival() {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.arrivals = append(f.arrivals, time.Now())
-	f.mu.Unlock()
-	if req.Header.Get("X-Stage") == "prefill" {
-		e.ServeDefault(w, req)
-		return
-	}
-	w.Header().Set("X-Response-Seal", e.ID+"."+req.Header.Get("X-Attempt-Id"))
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush() // Fails only if the gate has disconnected.
-	time.Sleep(crashDelay)
-	f.crash(slot, e)
-	panic(http.ErrAbortHandler)
 }
 
 // crash ends the engine of a slot unless it has ended already, and starts another one later.
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -84,12 +84,17 @@
 	engines     []*simop.Replica
 	version     atomic.Int64 // Version of the newest configuration.
 	added       atomic.Int64 // Number of replicas of the app service that were ever added.
+	hasCrashes  bool         // Some prompts crash the engines.
 
-	mu       sync.Mutex
-	apps     []*relayedReplica // The replicas of the app service that faults are injected into.
-	replicas []*simop.Replica  // All replicas, including removed ones.
-	results  []callResult
-	served   map[string]int64 // Newest configuration version that each instance of a gate served.
+	mu        sync.Mutex
+	apps      []*relayedReplica // The replicas of the app service that faults are injected into.
+	replicas  []*simop.Replica  // All replicas, including removed ones.
+	results   []callResult
+	served    map[string]int64 // Newest configuration version that each instance of a gate served.
+	crashes   []time.Time      // Of engines under crashPart.
+	late      []string         // Attempt ids of the requests with crashPart that calm gates sent too late after the fifth crash.
+	stopped   bool             // No engine is started again.
+	disturbed []disturbance    // By gate.
 }
 
 // relayedReplica is a replica of the app service with the relay that gates connect to it through.
@@ -102,13 +107,15 @@
 type callResult struct {
 	id     string
 	unsafe bool      // The request may run at most once.
+	crash  bool      // The prompt has the part that crashes engines.
 	status int       // 0 if there was no complete response.
 	at     time.Time // When the request was sent.
 }
 
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
 // requests of unsafe routes run at most once, and not at all if they were rejected; responses are complete; no gate
-// returns to an older configuration; and requests are served again soon after the last fault. The environment
+// returns to an older configuration; prompts with a part that crashes engines, which odd seeds send, soon reach none; and
+// requests are served again soon after the last fault. The environment
 // variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
 // directory for the logs.
 func TestSoak(t *testing.T) {
@@ -134,7 +141,7 @@
 		}
 	}
 	t.Logf("seed %d, %v, size %d", seed, length, size)
-	c := newSoakCluster(t, size)
+	c := newSoakCluster(t, size, seed%2 == 1)
 	stop := make(chan struct{})
 	var callers, faultSeries sync.WaitGroup
 	for i := range callersPerSize * size {
@@ -169,7 +176,7 @@
 }
 
 // newSoakCluster builds the binary and starts a cluster of a multiple of the default size without faults.
-func newSoakCluster(t *testing.T, size int) *soakCluster {
+func newSoakCluster(t *testing.T, size int, hasCrashes bool) *soakCluster {
 	t.Helper()
 	dir := t.TempDir()
 	logs := dir
@@ -180,7 +187,8 @@
 	if out, err := exec.Command("go", "build", "-race", "-o", binary, "pimentoseam").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64)}
+	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
+	t.Cleanup(c.stopEngines)
 	c.configure()
 	peer := freeAddrs(t, 1)[0].Port()
 	launch := func(command, name string, settings any) *process {
@@ -214,11 +222,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e := simop.NewReplica(fmt.Sprintf("e-%d", i), "lm", stage, simop.WithListener(l))
-		t.Cleanup(e.Close)
-		e.SetStream(streamEvents, 15*time.Millisecond, 0)
-		c.engines, c.replicas = append(c.engines, e), append(c.replicas, e)
-		c.store.Put("servers/"+e.ID, e.Registration("ready"))
+		c.engines = append(c.engines, nil)
+		e := c.startEngine(i, stage, l)
 		name := fmt.Sprintf("side-%d", i)
 		c.agents = append(c.agents, launch("tend", name, &setup.Tend{
 			Name: name, Engine: e.Addr(), Service: "lm", Store: c.store.Addr(),
@@ -292,25 +297,33 @@
 	pause := func(minMs, maxMs int) { time.Sleep(time.Duration(minMs+random.IntN(maxMs-minMs)) * time.Millisecond) }
 	// The two series select different processes, so none is killed or suspended twice at a time.
 	i := 2*random.IntN(len(c.gates)/2) + series
-	switch random.IntN(11) {
+	switch random.IntN(12) {
 	case 0:
+		defer c.disturb(i)()
 		c.gates[i].end(syscall.SIGKILL)
 		pause(10, 1500)
 		c.gates[i].start(c.t)
 	case 1:
+		defer c.disturb(i)()
 		c.gates[i].end(syscall.SIGTERM)
 		pause(10, 500)
 		c.gates[i].start(c.t)
 	case 2:
+		defer c.disturb(i)()
 		c.gates[i].signal(syscall.SIGSTOP)
 		pause(300, 4000)
 		c.gates[i].signal(syscall.SIGCONT)
 	case 3:
+		for n := range c.gates {
+			defer c.disturb(n)()
+		}
 		c.store.SetMode([]simop.Mode{simop.Refusing, simop.Hanging, simop.WatchesStalled, simop.HistoryLost}[random.IntN(4)])
 		pause(200, 3000)
 		c.store.SetMode(simop.Up)
 	case 4:
-		relay := c.storeRelays[random.IntN(len(c.storeRelays))]
+		n := random.IntN(len(c.storeRelays))
+		defer c.disturb(n)()
+		relay := c.storeRelays[n]
 		[]func(){relay.Blackhole, relay.Partition, relay.Reset, relay.DropResponses, func() { relay.SetLatency(200 * time.Millisecond) }}[random.IntN(5)]()
 		pause(200, 4000)
 		relay.Heal()
@@ -322,7 +335,7 @@
 	case 6:
 		r := c.randomApp(random).Replica
 		if random.IntN(2) == 0 {
-			r = c.engines[random.IntN(len(c.engines))]
+			r = c.randomEngine(random)
 		}
 		r.SetHandler(faultyHandler(r, random.IntN(8)))
 		pause(200, 2500)
@@ -346,7 +359,10 @@
 			pause(10, 300)
 		}
 	case 10:
-		c.engines[random.IntN(len(c.engines))].Restart([]string{"prefill", "decode"}[random.IntN(2)])
+		c.randomEngine(random).Restart([]string{"prefill", "decode"}[random.IntN(2)])
+	case 11:
+		slot := random.IntN(len(c.engines))
+		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond)
 	}
 }
 
@@ -446,6 +462,10 @@
 			if random.IntN(2) == 0 {
 				path, result.unsafe = "/fixed/x", true
 			}
+			if result.crash = c.hasCrashes && random.IntN(6) == 0; result.crash {
+				id = fmt.Sprintf("%s-g%d", id, gate)
+				result.id = id
+			}
 		}
 		before := c.newestServed(gate, starts)
 		req, err := http.NewRequest(http.MethodPost, "http://"+c.settings[gate].Listen.String()+path, strings.NewReader("body"))
@@ -458,6 +478,9 @@
 		for i := 0; i < len(promptHeaders); i += 2 {
 			req.Header.Set(promptHeaders[i], promptHeaders[i+1])
 		}
+		if result.crash {
+			req.Header.Set("X-Prompt-Prefix", "aa:500,"+crashPart+":4800,cc:6700")
+		}
 		req.Header.Set("X-Deadline-Remaining-Ms", "5000")
 		if resp, err := client.Do(req); err == nil {
 			result.status = c.checkResponse(resp, id, path)
@@ -561,7 +584,7 @@
 				c.t.Errorf("%s got 200 but didn't run", result.id)
 			}
 		}
-		if result.at.After(recoveredAt) {
+		if result.at.After(recoveredAt) && !result.crash {
 			afterRecovery++
 			if result.status == http.StatusOK {
 				servedCalls++
@@ -572,6 +595,12 @@
 	if 4*servedCalls < 3*afterRecovery || afterRecovery == 0 {
 		c.t.Errorf("%d of %d calls served from %v after the last fault, want three quarters at least", servedCalls, afterRecovery, recoveredAt.Sub(faultsEndedAt))
 	}
+	c.mu.Lock()
+	if len(c.late) > allowedAfter {
+		c.t.Errorf("%d requests with a part that crashes engines were sent later than %v after the fifth of %d crashes, want %d at most: %v", len(c.late), contactTime, len(c.crashes), allowedAfter, c.late)
+	}
+	c.t.Logf("%d engines crashed under the part", len(c.crashes))
+	c.mu.Unlock()
 	path := fmt.Sprintf("/gen%d/x", c.version.Load())
 	for _, set := range c.settings {
 		g := &testGate{set: set}
--- /dev/null
+++ b/io/gate/soakcrash_test.go
@@ -0,0 +1,120 @@
+package gate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"pimentoseam/io/simop"
+)
+
+// disturbance is what TestSoak does to a gate.
+type disturbance struct {
+	faults int       // Number of faults in progress.
+	ended  time.Time // End of the last one.
+}
+
+// disturb records that a gate has a fault until the returned function is called.
+func (c *soakCluster) disturb(gate int) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disturbed[gate].faults++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.disturbed[gate].faults--
+		c.disturbed[gate].ended = time.Now()
+	}
+}
+
+// startEngine starts and registers a new engine in a slot.
+func (c *soakCluster) startEngine(slot int, stage string, l net.Listener) *simop.Replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		_ = l.Close() // Nothing has connected.
+		return nil
+	}
+	e := simop.NewReplica(fmt.Sprintf("e-%d-%d", slot, len(c.replicas)), "lm", stage, simop.WithListener(l))
+	e.SetBorn(time.Now().UnixMilli())
+	e.SetStream(streamEvents, 15*time.Millisecond, 0)
+	if c.hasCrashes {
+		e.SetCrash(crashPart, c.recordCrashArrival, func() {
+			c.mu.Lock()
+			c.crashes = append(c.crashes, time.Now())
+			c.mu.Unlock()
+			c.replaceEngine(slot, e, time.Second)
+		})
+	}
+	c.engines[slot], c.replicas = e, append(c.replicas, e)
+	c.store.Put("servers/"+e.ID, e.Registration("ready"))
+	return e
+}
+
+// recordCrashArrival checks when a request with crashPart reaches an engine; its id names the gate that sent it.
+func (c *soakCluster) recordCrashArrival(id string) {
+	gate, err := strconv.Atoi(id[strings.LastIndex(id, "g")+1:])
+	if err != nil {
+		c.t.Errorf("attempt id %s names no gate", id)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.disturbed[gate]
+	isCalm := d.faults == 0 && time.Since(d.ended) >= contactTime
+	if isCalm && len(c.crashes) >= allowedCrash && time.Since(c.crashes[allowedCrash-1]) > contactTime {
+		c.late = append(c.late, id)
+	}
+}
+
+// replaceEngine crashes the engine of a slot, and starts another one at its address later.
+func (c *soakCluster) replaceEngine(slot int, e *simop.Replica, downTime time.Duration) {
+	c.mu.Lock()
+	if e == nil || c.engines[slot] != e || c.stopped {
+		c.mu.Unlock()
+		return // Another fault has crashed it.
+	}
+	c.engines[slot] = nil
+	c.mu.Unlock()
+	e.Crash()
+	time.Sleep(downTime)
+	c.store.Remove("servers/" + e.ID)
+	l, err := net.Listen("tcp", e.Addr().String())
+	if err != nil {
+		c.t.Errorf("engine not started again: %v", err)
+		return
+	}
+	c.startEngine(slot, e.Stage(), l)
+}
+
+// engine returns the engine of a slot, nil while it is down.
+func (c *soakCluster) engine(slot int) *simop.Replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.engines[slot]
+}
+
+// randomEngine returns a random engine that is up.
+func (c *soakCluster) randomEngine(random *rand.Rand) *simop.Replica {
+	for {
+		if e := c.engine(random.IntN(len(c.engines))); e != nil {
+			return e
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// stopEngines stops all engines at the end of the test.
+func (c *soakCluster) stopEngines() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for _, r := range c.replicas {
+		if r.Service == "lm" {
+			r.Close()
+		}
+	}
+}
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -37,6 +37,9 @@
 	leaving        bool             // Every answer states that the replica leaves.
 	retryAfter     string           // Unless empty, every call is turned away with this Retry-After.
 	turnedAway     int              // Number of calls that were turned away.
+	crashPart      string           // The part of prompts that crashes the replica; empty for none.
+	onArrival      func(id string)  // Called with the attempt ID of each request with that part.
+	onCrash        func()           // Called when the replica has crashed so.
 }
 
 // Option configures a Replica.
@@ -79,6 +82,48 @@
 	r.server.CloseClientConnections()
 }
 
+// crashDelay is the time from the head of a response to the crash.
+const crashDelay = 40 * time.Millisecond
+
+// SetCrash makes the replica crash when it begins to answer a prompt with a part. It calls onArrival with the attempt ID of
+// each request with the part, prefills included, and onCrash once it has crashed.
+func (r *Replica) SetCrash(part string, onArrival func(id string), onCrash func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashPart, r.onArrival, r.onCrash = part, onArrival, onCrash
+}
+
+// crashes reports whether a request crashes the replica.
+func (r *Replica) crashes(req *http.Request) bool {
+	r.mu.Lock()
+	part, onArrival := r.crashPart, r.onArrival
+	r.mu.Unlock()
+	if part == "" || !strings.Contains(req.Header.Get("X-Prompt-Prefix"), part) {
+		return false
+	}
+	onArrival(req.Header.Get("X-Attempt-Id"))
+	return req.Header.Get("X-Stage") != "prefill"
+}
+
+// serveCrash begins to respond and crashes.
+func (r *Replica) serveCrash(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("X-Attempt-Id")
+	r.mu.Lock()
+	r.runs[id]++
+	onCrash := r.onCrash
+	r.mu.Unlock()
+	w.Header().Set("X-Response-Seal", r.ID+"."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // Fails only if the caller has disconnected.
+	time.Sleep(crashDelay)
+	go func() {
+		r.Crash()
+		onCrash()
+	}()
+	panic(http.ErrAbortHandler)
+}
+
 // SetHandler makes f serve requests instead of ServeDefault; nil restores the default.
 func (r *Replica) SetHandler(f http.HandlerFunc) {
 	r.mu.Lock()
@@ -233,6 +278,8 @@
 		if !r.RemoveCache(strings.TrimPrefix(req.URL.Path, handlePath)) {
 			w.WriteHeader(http.StatusNotFound)
 		}
+	case r.crashes(req):
+		r.serveCrash(w, req)
 	case handler != nil:
 		handler(w, req)
 	default:
