entry, agent: prompts with a message that crashes engines are refused, and repeated once

Change: an agent tries whether its engine refuses connections when a call breaks off, and states the time of the crash in End. Entries keep a blame.Ledger with the messages as parts; heartbeats pass reports on to agents and through them to the other entries. A chat under which two engines crashed isn't tried again. Both fields are new and optional: older processes ignore them (golden bytes of the other frames are unchanged).

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pimentoseam/core/blame"
 	"pimentoseam/core/fault"
 )
 
@@ -73,6 +74,7 @@
 	Text        string        `cbor:"5,keyasint,omitempty"`
 	RetryAfter  time.Duration `cbor:"6,keyasint,omitempty"` // How long the caller should wait before a retry.
 	SafeToRetry bool          `cbor:"7,keyasint,omitempty"` // Another attempt is safe and takes nothing from the retry budget; a key has a tombstone at the agent.
+	CrashedAt   time.Time     `cbor:"8,keyasint,omitzero"`  // When the upstream crashed under the attempt, the same for all attempts there; zero if it didn't.
 }
 
 // Beat is a heartbeat. Both sides send revisions; the load fields are sent by agents only.
@@ -97,6 +99,7 @@
 	Period           time.Duration `cbor:"19,keyasint"`           // The time until the next heartbeat.
 	Start            time.Time     `cbor:"21,keyasint,omitzero"`  // The start time of the agent, sent only in its first minute.
 	StoppedAt        time.Time     `cbor:"20,keyasint,omitzero"`  // When the stopping process began to reject new keys.
+	Blame            *blame.Report `cbor:"22,keyasint,omitempty"` // Crashes of upstreams and the prompts that cause them; nil for none.
 }
 
 func (*Run) frame()     {}
--- a/core/frame/golden_test.go
+++ b/core/frame/golden_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"pimentoseam/core/blame"
 	"pimentoseam/core/fault"
 	"pimentoseam/core/frame"
 )
@@ -52,6 +53,14 @@
 				"1b0000000df847580015781e313937302d30312d30315430303a30303a30312e3030303030303030325a14781e313937302d" +
 				"30312d30315430303a30303a30322e3030303030303030325a",
 		},
+		{
+			&frame.End{ID: "a", Attempt: 2, Kind: fault.Failed, CrashedAt: start},
+			"a104a50161610202030004666661696c656408781e313937302d30312d30315430303a30303a30312e3030303030303030325a",
+		},
+		{
+			&frame.Beat{Name: "n", Period: time.Minute, Blame: &blame.Report{Blocks: []blame.Block{{Parts: []blame.Part{2}, Age: 5}}}},
+			"a105a4010002616e131b0000000df847580016a1038182810205",
+		},
 	}
 	for _, test := range tests {
 		data, err := hex.DecodeString(test.golden)
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pimentoseam/core/admit"
+	"pimentoseam/core/blame"
 	"pimentoseam/core/dedup"
 	"pimentoseam/core/event"
 	"pimentoseam/core/frame"
@@ -49,6 +50,7 @@
 	server     *server.Server
 	reconciler *reconciler
 	breaker    *health.Breaker
+	blame      *blame.Ledger // What entries report; passed on to the others.
 
 	wake           chan struct{} // Signals refuseLate that a request may be queued.
 	isLeaving      atomic.Bool
@@ -59,8 +61,9 @@
 	promptTokens   atomic.Int64
 	outputTokens   atomic.Int64
 
-	mu    sync.Mutex
-	calls map[callID]*call
+	mu        sync.Mutex
+	calls     map[callID]*call
+	crashedAt time.Time // When the upstream last crashed.
 }
 
 // New returns an Agent with the given settings.
@@ -76,6 +79,7 @@
 		table:     dedup.New(now),
 		calls:     make(map[callID]*call),
 		breaker:   health.New(),
+		blame:     blame.New(),
 		wake:      make(chan struct{}, 1),
 	}
 	a.reconciler = newReconciler(a, store.New(settings.Store))
@@ -203,6 +207,7 @@
 		OutputTokens:     a.outputTokens.Load(),
 		Start:            startedAt,
 		StoppedAt:        stoppedAt,
+		Blame:            a.blame.Report(),
 	}
 }
 
@@ -216,6 +221,7 @@
 	case *frame.Beat:
 		a.reconciler.observePlan(m.Epoch, m.Plan)
 		a.observeConfig(m.Config)
+		a.blame.Merge(m.Blame)
 	case *frame.Part, *frame.End:
 		a.log.Warn("unexpected frame")
 	}
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -148,9 +148,23 @@
 
 // fail ends the call with an error.
 func (k *call) fail(kind fault.Kind, text string, retryAfter time.Duration) {
+	k.failAfterCrash(kind, text, retryAfter, time.Time{})
+}
+
+// failAtUpstream ends a call without a whole answer from the upstream, and states whether that has crashed.
+func (k *call) failAtUpstream(text string) {
+	var crashedAt time.Time
+	if k.ctx.Err() == nil && k.agent.settings.Kind == "model" {
+		crashedAt = k.agent.lastCrash(k.ctx)
+	}
+	k.failAfterCrash(fault.Failed, text, 0, crashedAt)
+}
+
+// failAfterCrash is fail with the time at which the upstream crashed, zero if it did not.
+func (k *call) failAfterCrash(kind fault.Kind, text string, retryAfter time.Duration, crashedAt time.Time) {
 	k.agent.log.Info("refused", "request", k.run.ID, "attempt", k.run.Attempt, "kind", kind, "text", text)
 	k.agent.events.Add("refused", k.run.ID, k.agent.settings.Name, string(kind)+": "+text)
-	k.outbox.finish(&frame.End{Kind: kind, Text: text, RetryAfter: retryAfter})
+	k.outbox.finish(&frame.End{Kind: kind, Text: text, RetryAfter: retryAfter, CrashedAt: crashedAt})
 }
 
 func (k *call) execute() {
@@ -219,7 +233,7 @@
 	answer, err := a.client.Do(k.ctx, k.run)
 	k.recordHealth(answer, err, sentAt)
 	if err != nil {
-		k.fail(fault.Failed, err.Error(), 0)
+		k.failAtUpstream(err.Error())
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
@@ -268,7 +282,7 @@
 			return
 		}
 		if err != nil {
-			k.fail(fault.Failed, "the upstream's answer ended early", 0)
+			k.failAtUpstream("the upstream's answer ended early")
 			return
 		}
 	}
--- a/io/entry/chat.go
+++ b/io/entry/chat.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"pimentoseam/core/blame"
+	"pimentoseam/core/call"
 	"pimentoseam/core/conf"
 	"pimentoseam/core/fault"
 	"pimentoseam/io/server"
@@ -63,6 +65,19 @@
 	return strconv.FormatUint(xxhash.Sum64(start), 16)
 }
 
+// parts returns the messages as the parts of the prompt, the whole as one part if they are no list.
+func (b *chatBody) parts() []blame.Part {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(b.Messages, &messages); err != nil {
+		messages = []json.RawMessage{b.Messages} // The engine rejects them.
+	}
+	parts := make([]call.Part, len(messages))
+	for i, m := range messages {
+		parts[i].ID = string(m)
+	}
+	return blame.Parts(parts)
+}
+
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
 	id := newID()
 	w.Header().Set("X-Request-Id", id)
@@ -112,6 +127,7 @@
 	defer e.activeRequests.Add(-1)
 	q.id = id
 	q.prefixHash = body.prefixHash()
+	q.parts = body.parts()
 	q.run.Method, q.run.Path, q.run.Type = http.MethodPost, "/v1/chat/completions", "application/json"
 	q.run.Body = data
 	q.run.PromptTokens = len(body.Messages)/bytesPerToken + 1
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"pimentoseam/core/blame"
 	"pimentoseam/core/event"
 	"pimentoseam/core/pick"
 	"pimentoseam/core/retry"
@@ -36,6 +37,7 @@
 	public         *server.Server
 	admin          *server.Server
 	budget         *retry.Budget
+	blame          *blame.Ledger
 	chooser        *pick.Chooser
 	view           atomic.Pointer[view]
 	fleet          atomic.Pointer[fleet]
@@ -62,6 +64,7 @@
 		store:          store.New(settings.Store),
 		vms:            vmlist.New(settings.VMs),
 		budget:         retry.New(retryRatio),
+		blame:          blame.New(),
 		chooser:        pick.New(),
 		catchUpSignal:  make(chan struct{}, 1),
 		upstreams:      make(map[string]*upstream),
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"pimentoseam/core/blame"
 	"pimentoseam/core/conf"
 	"pimentoseam/core/fault"
 	"pimentoseam/core/frame"
@@ -14,6 +15,7 @@
 
 const (
 	maxAttempts           = 3
+	maxCrashes            = 2                      // A request under which so many engines have crashed is not tried again.
 	maxSilence            = 5 * time.Second        // An attempt fails if its upstream sends no frame for this long.
 	minFirstTimeout       = time.Second            // Minimum wait for the first frame of an answer.
 	maxRelinkWait         = 2 * time.Second        // Maximum wait for a new link to the same upstream.
@@ -30,8 +32,10 @@
 	class      *conf.Class
 	target     *conf.Target
 	view       *view
-	run        frame.Run // The frame that each attempt sends, without the fields that differ by attempt.
-	prefixHash string    // The hash of the prompt's prefix.
+	run        frame.Run    // The frame that each attempt sends, without the fields that differ by attempt.
+	prefixHash string       // The hash of the prompt's prefix.
+	parts      []blame.Part // The messages of the prompt.
+	crashes    int          // The attempts under which an engine has crashed.
 	ctx        context.Context
 	start      time.Time
 	deadline   time.Time
@@ -69,6 +73,9 @@
 	q.entry.budget.Earn()
 	q.tried = make(map[*upstream]bool)
 	for {
+		if left, ok := q.entry.blame.Blocked(q.parts); ok {
+			return q.finalFault(fault.Retry("prompts with the same messages crash engines", left))
+		}
 		up := q.chooseFirst()
 		if up == nil {
 			return q.finalFault(fault.Retry("no upstream can take the request", unavailableRetryAfter))
@@ -122,11 +129,11 @@
 // prefill has up process the prompt and sets the handle of the resulting KV cache for the decode.
 func (q *request) prefill(up *upstream) outcome {
 	out := &bufferSink{}
-	sub := *q
+	sub := *q // Its crashes are copied back.
 	sub.sink = out
 	sub.run.Path = "/v1/prefill"
 	result := sub.runAttempt(up)
-	q.attemptNum = sub.attemptNum
+	q.attemptNum, q.crashes = sub.attemptNum, sub.crashes
 	if result.callerGone || result.fault != nil {
 		return result
 	}
@@ -142,7 +149,7 @@
 // mayRetry reports whether another attempt is permitted after the given outcome. After an outcome that is
 // safeToRetry it takes nothing from the retry budget.
 func (q *request) mayRetry(result outcome) bool {
-	if result.isFinal || q.sink.hasDelivered() || result.fault.Kind == fault.Invalid || int(q.attemptNum) >= maxAttempts {
+	if q.crashes >= maxCrashes || result.isFinal || q.sink.hasDelivered() || result.fault.Kind == fault.Invalid || int(q.attemptNum) >= maxAttempts {
 		return false
 	}
 	if time.Until(q.deadline) < minRetryTime {
--- a/io/entry/transfer.go
+++ b/io/entry/transfer.go
@@ -175,6 +175,9 @@
 }
 
 func (t *transfer) handleEnd(m *frame.End) *outcome {
+	if !m.CrashedAt.IsZero() {
+		t.recordCrash(m.CrashedAt)
+	}
 	if m.Kind != "" {
 		return &outcome{fault: &fault.Error{Kind: m.Kind, Message: m.Text, RetryAfter: m.RetryAfter}, safeToRetry: m.SafeToRetry}
 	}
@@ -186,5 +189,6 @@
 	if err := t.request.sink.end(); err != nil {
 		return sinkOutcome(err)
 	}
+	t.request.entry.blame.Answered(t.request.parts)
 	return &outcome{}
 }
--- a/io/simai/chat.go
+++ b/io/simai/chat.go
@@ -1,6 +1,7 @@
 package simai
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -8,10 +9,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
+
+	"pimentoseam/io/simflt"
 )
 
 const (
@@ -125,6 +129,9 @@
 	} else if !e.processPrompt(r.Context(), req.promptTokens()) {
 		return
 	}
+	if _, ok := e.faults.Trigger(simflt.Exit, r); ok && bytes.Contains(body, []byte(simflt.ExitText)) {
+		exit(w)
+	}
 	response := &responder{engine: e, w: w, digest: Digest(body), id: "chatcmpl-" + uuid.NewString(), req: &req}
 	if req.Stream {
 		response.writeStream(r.Context())
@@ -133,6 +140,17 @@
 	response.writeCompletion(r.Context())
 }
 
+// exitDelay is the time from the head of a response to the end of the process.
+const exitDelay = 30 * time.Millisecond
+
+// exit begins to respond and ends the process.
+func exit(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // Fails only if the agent has disconnected.
+	time.Sleep(exitDelay)
+	os.Exit(1)
+}
+
 // acquireSlot waits for a slot; it rejects the request while a command is being executed.
 func (e *Engine) acquireSlot(w http.ResponseWriter, r *http.Request) bool {
 	if e.phase() != Ready {
--- a/io/simflt/set.go
+++ b/io/simflt/set.go
@@ -22,9 +22,13 @@
 	Freeze       Name = "freeze" // Blocks each call until the fault is switched off.
 	Stale        Name = "stale"  // Reads return the previous value of a key.
 	Crash        Name = "crash"  // An engine crashes while it executes a command.
+	Exit         Name = "exit"   // An engine's process ends when it begins to answer a chat that contains ExitText.
 	Lag          Name = "late"   // Load reports and VM lists are as old as Duration.
 )
 
+// ExitText is the text of a chat to which Exit applies.
+const ExitText = "exit the engine"
+
 // Fault switches a fault on or off and selects the calls that it applies to.
 type Fault struct {
 	Name       Name      `json:"name"`
