--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -155,7 +155,7 @@
 func (k *call) failAtUpstream(text string) {
 	var crashedAt time.Time
 	if k.ctx.Err() == nil && k.agent.settings.Kind == "model" {
-		crashedAt = k.agent.lastCrash(k.ctx)
+		crashedAt = k.agent.lastCrash()
 	}
 	k.failAfterCrash(fault.Failed, text, 0, crashedAt)
 }
--- a/io/agent/crash.go
+++ b/io/agent/crash.go
@@ -1,23 +1,18 @@
 package agent
 
 import (
-	"context"
 	"time"
-)
 
-const (
-	// crashCheckTimeout limits the try whether the upstream, on the same VM, refuses connections.
-	crashCheckTimeout = 250 * time.Millisecond
-	// crashWindow is the time in which calls break off in one crash. An engine takes longer to start again.
-	crashWindow = time.Second
+	"pimentoseam/io/socket"
 )
 
+// crashWindow is the time in which calls break off in one crash. An engine takes longer to start again.
+const crashWindow = time.Second
+
 // lastCrash returns when the upstream crashed if it refuses connections now, and zero otherwise. Calls that break off within
 // crashWindow get the same time.
-func (a *Agent) lastCrash(ctx context.Context) time.Time {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	if !a.client.IsRefused(ctx) {
+func (a *Agent) lastCrash() time.Time {
+	if !socket.IsRefused(a.settings.Upstream) {
 		return time.Time{}
 	}
 	a.mu.Lock()
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -204,16 +204,6 @@
 	return &conn{Conn: raw, addr: addr, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
-// IsRefused reports whether an address refuses a connection, which shows that the process that listened there has ended.
-func (p *Pool) IsRefused(ctx context.Context, addr netip.AddrPort) bool {
-	raw, err := p.dialer.DialContext(ctx, "tcp", addr.String())
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = raw.Close() // Nothing was sent.
-	return false
-}
-
 // takeIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) takeIdle(addr netip.AddrPort) *conn {
 	p.mu.Lock()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -4,13 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
-	"syscall"
 	"time"
 
 	"pimentoseam/core/frame"
@@ -54,7 +51,6 @@
 
 // Client calls the upstream at one address.
 type Client struct {
-	addr     netip.AddrPort
 	base     string
 	pooled   *http.Client
 	unpooled *http.Client
@@ -67,7 +63,6 @@
 	// new connection.
 	unpooled := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
-		addr:     addr,
 		base:     "http://" + addr.String(),
 		pooled:   &http.Client{Transport: pooled},
 		unpooled: &http.Client{Transport: unpooled},
@@ -101,16 +96,6 @@
 	return resp, nil
 }
 
-// IsRefused reports whether the upstream's address refuses a connection, which shows that its process has ended.
-func (c *Client) IsRefused(ctx context.Context) bool {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.addr.String())
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = conn.Close() // Nothing was sent.
-	return false
-}
-
 // State is the state that a model engine reports; Phase is "ready" while it executes no command.
 type State struct {
 	Phase    string `json:"phase"`
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -8,14 +8,13 @@
 	"pimentoseam/core/blame"
 	"pimentoseam/core/member"
 	"pimentoseam/io/proc"
+	"pimentoseam/io/socket"
 )
 
 const (
 	// crashSettle is the time from the first connection that an engine has closed in the middle of a request until its
 	// address is tried. The other requests at the engine fail meanwhile.
 	crashSettle = 20 * time.Millisecond
-	// crashCheckTimeout limits that try. The VM of a process that has ended refuses the connection at once.
-	crashCheckTimeout = 250 * time.Millisecond
 	// maxOnset is the age up to which a request that has events is suspect.
 	maxOnset = time.Second
 	// maxCrashSuspects limits the suspects that are collected for one engine.
@@ -48,9 +47,7 @@
 // its suspects if so. A partition or a loss of power is no crash.
 func (g *Gate) checkCrash(u *upstream, run *member.Upstream) {
 	proc.Sleep(context.Background(), crashSettle)
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	crashed := g.pool.IsRefused(ctx, run.Addr)
+	crashed := socket.IsRefused(run.Addr)
 	g.mu.Lock()
 	suspects := u.suspects
 	u.suspects, u.isChecked = nil, false
