--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -24,7 +24,7 @@
 	// minSpacing is the time by which crashes must lie apart to count as two. Engines that end together have a common
 	// cause, such as the loss of a rack.
 	minSpacing = 250 * time.Millisecond
-	// evidenceTTL is how long a crash counts.
+	// evidenceTTL is how long a crash counts. A part that comes rarely crashes engines minutes apart.
 	evidenceTTL = 10 * time.Minute
 	// blockTTL is how long parts are blocked. After it, an engine may have been replaced by one that answers them; if not,
 	// they cost minBegun crashes again.
@@ -32,12 +32,14 @@
 	// reportTTL is how long a crash is reported to other entries. Alerts repeat it about twenty times meanwhile.
 	reportTTL = 10 * time.Second
 
-	maxCrashes        = 64 // Crashes that are remembered.
-	maxBlocks         = 64 // Blocks in force.
-	maxSuspects       = 16 // Suspects of a crash.
-	maxParts          = 16 // Parts of a prompt.
-	maxReported       = 16 // Crashes in a report.
-	maxReportSuspects = 4  // Suspects of a crash in a report.
+	// The limits of an entry's state, which then has about 200 kB.
+	maxCrashes  = 64
+	maxBlocks   = 64
+	maxSuspects = 16 // Of a crash.
+	maxParts    = 16 // Of a prompt.
+	// The limits of a report, which then has less than 32 kB and fits into a datagram.
+	maxReported       = 16 // Crashes.
+	maxReportSuspects = 4  // Of a crash.
 	maxReportAnswers  = 200
 )
 
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -15,7 +15,8 @@
 	// crashSettle is the time from the first connection that an engine has closed in the middle of a request until its
 	// address is tried. The other requests at the engine fail meanwhile.
 	crashSettle = 20 * time.Millisecond
-	// maxOnset is the age up to which a request that has events is suspect.
+	// maxOnset is the age up to which a request that has events is suspect. A prompt that crashes engines does so soon after
+	// its answer begins.
 	maxOnset = time.Second
 	// maxCrashSuspects limits the suspects that are collected for one engine.
 	maxCrashSuspects = 64
--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	engines  []*simop.Replica // By slot.
 	started  int              // Number of engines that were ever started.
+	ended    map[*simop.Replica]bool
 	crashes  []time.Time
 	arrivals []time.Time // Of requests with crashPart, prefills included.
 	closed   bool
@@ -38,7 +39,7 @@
 
 // newCrashFleet starts two prefill engines and some decode engines.
 func newCrashFleet(t *testing.T, store *simop.Store, decodeEngines int) *crashFleet {
-	f := &crashFleet{t: t, store: store, engines: make([]*simop.Replica, 2+decodeEngines)}
+	f := &crashFleet{t: t, store: store, engines: make([]*simop.Replica, 2+decodeEngines), ended: make(map[*simop.Replica]bool)}
 	for slot := range f.engines {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -89,9 +90,10 @@
 func (f *crashFleet) crash(slot int, e *simop.Replica) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.engines[slot] != e || f.closed || f.crashed(e) {
+	if f.ended[e] || f.closed {
 		return
 	}
+	f.ended[e] = true
 	f.crashes = append(f.crashes, time.Now())
 	addr := e.Addr()
 	go func() {
@@ -107,13 +109,6 @@
 	}()
 }
 
-// crashed marks an engine as ended and reports whether it was before; the lock must be held.
-func (f *crashFleet) crashed(e *simop.Replica) bool {
-	was := e.Stage() == ""
-	e.Restart("")
-	return was
-}
-
 // numCrashes returns the number of crashes.
 func (f *crashFleet) numCrashes() int {
 	f.mu.Lock()
@@ -275,7 +270,7 @@
 	}, func(int, int) {})
 	for round := range 12 { // In turn, and all at once as in a loss of power.
 		for slot := range fleet.engines {
-			if round%3 == 0 || slot%len(fleet.engines) == round%len(fleet.engines) {
+			if round%3 == 0 || slot == round%len(fleet.engines) {
 				fleet.mu.Lock()
 				e := fleet.engines[slot]
 				fleet.mu.Unlock()
