--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -139,7 +139,7 @@
 		set.Zone = []string{"z", "z", "y"}[i%3]
 		if i > 0 {
 			set.Seeds = gates[0].set.Share.String()
-			set.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + i)}), gates[0].set.Peer.Port())
+			set.Peer = netip.AddrPortFrom(set.Listen.Addr(), gates[0].set.Peer.Port())
 		}
 		gates = append(gates, startWithSettings(t, store, set))
 	}
@@ -183,6 +183,7 @@
 
 // TestPartThatCrashesEngines guards against prompts with one part that crash engine after engine.
 func TestPartThatCrashesEngines(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.Put("op/config", config(1, 3000))
 	fleet := newCrashFleet(t, store, 6)
@@ -222,6 +223,7 @@
 
 // TestBlockReachesAllGates guards against gates that must see engines crash themselves before they refuse a part.
 func TestBlockReachesAllGates(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.Put("op/config", config(1, 3000))
 	fleet := newCrashFleet(t, store, 4)
@@ -257,6 +259,7 @@
 // TestCrashesKeepSoundParts guards against crashes that have other causes shutting out the parts of prompts that were at the
 // engines.
 func TestCrashesKeepSoundParts(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.Put("op/config", config(1, 3000))
 	fleet := newCrashFleet(t, store, 4)
@@ -295,6 +298,7 @@
 
 // TestPartStaysOutOverRestart guards against gates that forget, in a restart of all of them, which part crashes engines.
 func TestPartStaysOutOverRestart(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.Put("op/config", config(1, 3000))
 	fleet := newCrashFleet(t, store, 6)
