--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -218,7 +218,7 @@
 	}
 	for i := range enginesPerSize * size {
 		stage := []string{"prefill", "decode"}[i%2]
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", 1+i))
+		l, err := net.Listen("tcp", netip.AddrPortFrom(soakHost(3, i), 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -240,7 +240,7 @@
 		set.Name, set.Zone, set.Store = fmt.Sprintf("gate-%d", i), []string{"east", "west"}[i%2], relay.Addr()
 		// Each gate has an IP address of its own. Otherwise an outgoing connection of another process could take
 		// one of its ports while it is down.
-		host := netip.AddrFrom4([4]byte{127, 0, 4, byte(1 + i)})
+		host := soakHost(4, i)
 		for _, addr := range []*netip.AddrPort{&set.Listen, &set.Ready, &set.Share, &set.Debug} {
 			*addr = netip.AddrPortFrom(host, addr.Port())
 		}
@@ -254,6 +254,13 @@
 	return c
 }
 
+// soakHost returns the loopback address of the i-th process of a group. Runs at the same time have different ones, since
+// ports are chosen before the processes listen on them.
+func soakHost(group, i int) netip.Addr {
+	const maxRuns = 250
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%maxRuns), byte(group), byte(1 + i)})
+}
+
 // configure writes the next configuration version. Only this version has a route with the prefix /genVERSION/.
 func (c *soakCluster) configure() {
 	v := c.version.Add(1)
