--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -369,7 +369,7 @@
 		c.randomEngine(random).Restart([]string{"prefill", "decode"}[random.IntN(2)])
 	case 11:
 		slot := random.IntN(len(c.engines))
-		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond)
+		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond, false)
 	}
 }
 
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -43,10 +43,7 @@
 	e.SetStream(streamEvents, 15*time.Millisecond, 0)
 	if c.hasCrashes {
 		e.SetCrash(crashPart, c.recordCrashArrival, func() {
-			c.mu.Lock()
-			c.crashes = append(c.crashes, time.Now())
-			c.mu.Unlock()
-			c.replaceEngine(slot, e, time.Second)
+			c.replaceEngine(slot, e, time.Second, true)
 		})
 	}
 	c.engines[slot], c.replicas = e, append(c.replicas, e)
@@ -70,12 +67,16 @@
 	}
 }
 
-// replaceEngine crashes the engine of a slot, and starts another one at its address later.
-func (c *soakCluster) replaceEngine(slot int, e *simop.Replica, downTime time.Duration) {
+// replaceEngine crashes the engine of a slot, and starts another one at its address later. It does nothing if that was done
+// already, as by another request with crashPart.
+func (c *soakCluster) replaceEngine(slot int, e *simop.Replica, downTime time.Duration, isUnderPart bool) {
 	c.mu.Lock()
 	if e == nil || c.engines[slot] != e || c.stopped {
 		c.mu.Unlock()
-		return // Another fault has crashed it.
+		return
+	}
+	if isUnderPart {
+		c.crashes = append(c.crashes, time.Now())
 	}
 	c.engines[slot] = nil
 	c.mu.Unlock()
