blame: a part is told by the crashes that it is at, also when little is answered

Now it is judged by how many of the crashes a part is at, given its share of the requests sent, and by how many answers it isn't in. Ledger.Sent counts requests and those with suspect parts. TestCrashLoop now draws 1 to 300 subjects: none is blocked.

--- a/core/blame/convict.go
+++ b/core/blame/convict.go
@@ -144,20 +144,40 @@
 	return n >= factor*minOther && l.chance(p, e.first, crashes, all, n) <= maxChance
 }
 
-// chance returns the probability with which a sound part would have been at n crashes and not been answered since the first
-// of them. Each time, a request breaks off with the probability with which those without the part do.
+// chance returns the probability with which a sound part would have been at n or more of the crashes since the first one, and
+// in none of the answers. It would have its share of the requests that were sent also among the suspects and the answers.
 func (l *Ledger) chance(p Part, first *crash, crashes []*crash, suspects func(*crash) []Suspect, n int) float64 {
-	broken := 1.0 // None at all would allow no estimate.
+	var all moments
+	suspected, suspectedWith := 0, 0
 	for _, c := range crashes {
-		if c.at.Before(first.at) {
+		if c.at.Before(first.at) || len(l.suspects(c, p)) == 0 {
 			continue
 		}
+		all.add(c.at)
 		for _, s := range suspects(c) {
-			if !slices.Contains(s.Parts, p) {
-				broken++
+			suspected++
+			if slices.Contains(s.Parts, p) {
+				suspectedWith++
 			}
 		}
 	}
-	answered := float64((l.total - first.total) * l.entries)
-	return math.Pow(broken/(broken+answered), float64(n))
+	// The estimates can be below what is known from the suspects, which were sent, too.
+	sent := max(suspected, l.entries*(l.traffic.sent-first.before.sent))
+	share := min(1, float64(max(suspectedWith, l.entries*l.sent[p]))/float64(sent))
+	perCrash := float64(suspected) / float64(all.n)
+	atCrash := 1 - math.Pow(1-share, perCrash)
+	answered := float64(l.entries * (l.traffic.answered - first.before.answered))
+	return tail(max(n, all.n), n, atCrash) * math.Pow(1-share, answered)
+}
+
+// tail returns the probability of n or more successes in trials that each succeed with the given probability.
+func tail(trials, n int, probability float64) float64 {
+	sum := 0.0
+	for k := n; k <= trials; k++ {
+		ways, _ := math.Lgamma(float64(trials + 1))
+		chosen, _ := math.Lgamma(float64(k + 1))
+		rest, _ := math.Lgamma(float64(trials - k + 1))
+		sum += math.Exp(ways-chosen-rest) * math.Pow(probability, float64(k)) * math.Pow(1-probability, float64(trials-k))
+	}
+	return min(1, sum)
 }
--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -18,9 +18,9 @@
 	minOther = 5
 	// answeredFactor multiplies both numbers for a part that engines have answered before.
 	answeredFactor = 2
-	// maxChance is the largest probability with which a sound part would have met the same crashes by chance, given how many
-	// other requests were broken off and how many were answered meanwhile. An entry sees some thousand parts an hour.
-	maxChance = 1e-4
+	// maxChance is the largest probability with which a sound part would have been at as many crashes and in no answer by
+	// chance. An entry sees some thousand parts an hour.
+	maxChance = 1e-5
 	// minSpacing is the time by which crashes must lie apart to count as two. Engines that end together have a common
 	// cause, such as the loss of a rack.
 	minSpacing = 250 * time.Millisecond
@@ -50,12 +50,19 @@
 	answers *answerLog
 	blocks  []*block // The oldest first.
 	entries int
-	total   int // Complete answers of this entry.
+	traffic traffic
+	sent    map[Part]int // Requests with each suspect part that this entry has sent since it became suspect.
+}
+
+// traffic counts what this entry has sent to engines and got from them.
+type traffic struct {
+	sent     int // Requests.
+	answered int // Complete answers.
 }
 
 type crash struct {
 	at       time.Time
-	total    int       // Complete answers of this entry until then.
+	before   traffic   // Of this entry until then.
 	suspects []Suspect // Those that were begun first.
 }
 
@@ -66,16 +73,28 @@
 
 // New returns an empty Ledger.
 func New() *Ledger {
-	return &Ledger{crashes: make(map[leave.Run]*crash), answers: newAnswerLog(), entries: 1}
+	return &Ledger{crashes: make(map[leave.Run]*crash), answers: newAnswerLog(), entries: 1, sent: make(map[Part]int)}
 }
 
-// SetEntries sets the number of entries. The answers of the others are estimated from those of this one.
+// SetEntries sets the number of entries. The traffic of the others is estimated from that of this one.
 func (l *Ledger) SetEntries(entries int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entries = max(1, entries)
 }
 
+// Sent records that a prompt with the given parts was sent to an engine to be answered.
+func (l *Ledger) Sent(parts []Part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.traffic.sent++
+	for _, p := range parts {
+		if n, ok := l.sent[p]; ok {
+			l.sent[p] = n + 1
+		}
+	}
+}
+
 // Answered records that an engine has answered a prompt with the given parts completely.
 func (l *Ledger) Answered(parts []Part) {
 	if len(parts) == 0 {
@@ -83,7 +102,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.total++
+	l.traffic.answered++
 	for _, p := range parts {
 		l.answers.add(p, time.Now())
 	}
@@ -202,7 +221,7 @@
 		if len(l.crashes) >= maxCrashes {
 			l.dropOldestCrash()
 		}
-		known = &crash{at: at, total: l.total}
+		known = &crash{at: at, before: l.traffic}
 		l.crashes[c.Run] = known
 	}
 	changed := len(known.suspects) == 0
@@ -212,6 +231,9 @@
 		if len(s.Parts) > 0 && !slices.ContainsFunc(known.suspects, isKnown) {
 			known.suspects = append(known.suspects, s)
 			changed = true
+			for _, p := range s.Parts {
+				l.sent[p] += 0 // Counts from now on.
+			}
 		}
 	}
 	slices.SortStableFunc(known.suspects, func(a, b Suspect) int { return compareBegun(a, b) })
@@ -234,6 +256,20 @@
 func (l *Ledger) dropOldestCrash() {
 	runs := slices.SortedFunc(maps.Keys(l.crashes), func(a, b leave.Run) int { return l.crashes[a].at.Compare(l.crashes[b].at) })
 	delete(l.crashes, runs[0])
+	l.forgetSent()
+}
+
+// forgetSent drops the counts of parts that are no longer suspect.
+func (l *Ledger) forgetSent() {
+	suspect := make(map[Part]bool)
+	for _, c := range l.crashes {
+		for _, s := range c.suspects {
+			for _, p := range s.Parts {
+				suspect[p] = true
+			}
+		}
+	}
+	maps.DeleteFunc(l.sent, func(p Part, _ int) bool { return !suspect[p] })
 }
 
 // addBlock blocks a set of parts and reports whether it is new. It replaces blocks of more parts, which it covers.
@@ -269,7 +305,11 @@
 
 // expire drops crashes and blocks that no longer count.
 func (l *Ledger) expire() {
+	before := len(l.crashes)
 	maps.DeleteFunc(l.crashes, func(_ leave.Run, c *crash) bool { return time.Since(c.at) >= evidenceTTL })
+	if len(l.crashes) < before {
+		l.forgetSent()
+	}
 	l.blocks = slices.DeleteFunc(l.blocks, func(b *block) bool { return time.Since(b.at) >= blockTTL })
 }
 
--- a/core/blame/ledger_test.go
+++ b/core/blame/ledger_test.go
@@ -36,7 +36,9 @@
 // answerOthers records answers to prompts with the part of all prompts and second parts that no test accuses.
 func answerOthers(l *blame.Ledger, n int) {
 	for i := range n {
-		l.Answered([]blame.Part{system, 1_000_000 + blame.Part(i)})
+		parts := []blame.Part{system, 1_000_000 + blame.Part(i)}
+		l.Sent(parts)
+		l.Answered(parts)
 	}
 }
 
@@ -84,15 +86,39 @@
 
 // TestCrashLoop checks that engines that crash whatever they answer block nothing.
 func TestCrashLoop(t *testing.T) {
+	for _, subjects := range []int{1, 3, 30, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			l := blame.New()
+			answerOthers(l, 1000)
+			random := rand.New(rand.NewPCG(uint64(subjects), 1))
+			for n := range 200 {
+				time.Sleep(time.Second)
+				parts := []blame.Part{system, other + blame.Part(random.IntN(subjects))}
+				l.Sent(parts)
+				l.Merge(crash(n, true, parts))
+			}
+			if blocks := l.Blocks(); len(blocks) > 0 {
+				t.Errorf("got blocks %v with %d subjects", blocks, subjects)
+			}
+		})
+	}
+}
+
+// TestNoAnswers has a part in one of six prompts keep all engines down, so that no other prompt is answered.
+func TestNoAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := blame.New()
-		answerOthers(l, 1000)
-		for n := range 60 {
-			time.Sleep(time.Second)
-			l.Merge(crash(n, true, []blame.Part{system, other + blame.Part(n%3)}))
+		l.SetEntries(4)
+		for n := range 7 {
+			time.Sleep(700 * time.Millisecond)
+			for range 5 {
+				l.Sent([]blame.Part{system, other})
+			}
+			l.Sent([]blame.Part{system, bad})
+			l.Merge(crash(n, true, []blame.Part{system, bad}))
 		}
-		if blocks := l.Blocks(); len(blocks) > 0 {
-			t.Errorf("got blocks %v", blocks)
+		if !isBlocked(l, system, bad) || isBlocked(l, system, other) {
+			t.Errorf("got blocks %v, want the part at fault after seven crashes", l.Blocks())
 		}
 	})
 }
@@ -246,13 +272,17 @@
 			step := func() {
 				time.Sleep(time.Duration(50+random.IntN(400)) * time.Millisecond)
 				for range random.IntN(8) {
-					l.Answered(prompt())
+					parts := prompt()
+					l.Sent(parts)
+					l.Answered(parts)
 				}
 				for range random.IntN(3) * random.IntN(6) {
 					runs++
 					c := blame.Crash{Run: leave.Run{Key: uint32(runs), Started: 1}}
 					for i := range 1 + random.IntN(10) {
-						c.Suspects = append(c.Suspects, blame.Suspect{Begun: i == 0 && random.IntN(4) == 0, Parts: prompt()})
+						parts := prompt()
+						l.Sent(parts)
+						c.Suspects = append(c.Suspects, blame.Suspect{Begun: i == 0 && random.IntN(4) == 0, Parts: parts})
 					}
 					l.Merge(&blame.Report{Crashes: []blame.Crash{c}})
 				}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -236,6 +236,9 @@
 		return nil, notRun
 	}
 	x.sentAt = time.Now()
+	if !dispatch.PrefillOnly {
+		x.gate.blame.Sent(x.parts)
+	}
 	limit := 0
 	if service := x.table.Services[x.service]; service != nil {
 		limit = service.MaxConns / 2 // All callers of the upstream share MaxConns.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -86,7 +86,7 @@
 mutant no-blame io/gate TestPartThatCrashesEngines core/blame/ledger.go 's/left > 0 && isSubset/left > time.Hour \&\& isSubset/'
 mutant blame-alone io/gate TestBlockReachesAllGates io/gate/crash.go 's/g\.blame\.Merge\(a\.Blame\)/g.blame.Merge(nil)/'
 mutant forget-blocks io/gate TestPartStaysOutOverRestart io/gate/election.go 's/\t\tl\.writeBlocks\(ctx\)\n//'
-mutant blame-all core/blame TestRandomCrashes core/blame/ledger.go 's/maxChance = 1e-4/maxChance = 1/'
-mutant blame-moment core/blame TestCommonCause core/blame/ledger.go 's/minSpacing = 250 \*/minSpacing = 0 */; s/maxChance = 1e-4/maxChance = 1/'
+mutant blame-all core/blame TestRandomCrashes core/blame/ledger.go 's/maxChance = 1e-5/maxChance = 1/'
+mutant blame-moment core/blame TestCommonCause core/blame/ledger.go 's/minSpacing = 250 \*/minSpacing = 0 */; s/maxChance = 1e-5/maxChance = 1/'
 mutant blame-engine io/fleet TestCrashingPrompt io/entry/request.go 's/\); ok \{\n\t\t\treturn q\.finalFault\(fault\.Retry\("prompts/); ok \&\& left < 0 {\n\t\t\treturn q.finalFault(fault.Retry("prompts/'
 exit $bad
