--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -195,7 +195,7 @@
 				contested[p] = true
 			}
 		}
-		r.Crashes = append(r.Crashes, Crash{Run: run, Age: ageOf(c.at), Suspects: c.suspects[:min(len(c.suspects), maxReportSuspects)]})
+		r.Crashes = append(r.Crashes, Crash{Run: run, Age: ageOf(c.at), Suspects: slices.Clone(c.suspects[:min(len(c.suspects), maxReportSuspects)])})
 	}
 	slices.SortFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) })
 	r.Crashes = r.Crashes[:min(len(r.Crashes), maxReported)]
--- a/core/blame/ledger_test.go
+++ b/core/blame/ledger_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"pimentoseam/core/blame"
 	"pimentoseam/core/leave"
 )
@@ -328,3 +331,20 @@
 		}
 	})
 }
+
+// TestReportIsCopy guards against reports that share memory with a ledger in use; the race detector sees it.
+func TestReportIsCopy(t *testing.T) {
+	l := blame.New()
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for n := range 2000 {
+			l.Merge(crash(n%10, n%2 == 0, []blame.Part{blame.Part(n)}, []blame.Part{bad}))
+		}
+	})
+	for range 500 {
+		if _, err := cbor.Marshal(l.Report()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait.Wait()
+}
