--- a/core/blame/ledger_test.go
+++ b/core/blame/ledger_test.go
@@ -338,7 +338,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		for n := range 2000 {
-			l.Merge(crash(n%10, n%2 == 0, []blame.Part{blame.Part(n)}, []blame.Part{bad}))
+			l.Merge(crash(n%10, n/10%2 == 0, []blame.Part{blame.Part(n)}, []blame.Part{bad}))
 		}
 	})
 	for range 500 {
