--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -71,4 +71,5 @@
 		}
 	}
 	e.fleet.Store(next)
+	e.blame.SetEntries(len(next.liveEntries()))
 }
