blame: requests without a prompt don't count among those sent

Found by reading the change once more. TestPlainRequests failed on the code before: a part of the only prompts that were sent was blocked.

--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -19,7 +19,7 @@
 	// answeredFactor multiplies both numbers for a part that engines have answered before.
 	answeredFactor = 2
 	// maxChance is the largest probability with which a sound part would have been at as many crashes and in no answer by
-	// chance. An entry sees some thousand parts an hour.
+	// chance. It is small because it applies to each of the many parts that an entry sees.
 	maxChance = 1e-5
 	// minSpacing is the time by which crashes must lie apart to count as two. Engines that end together have a common
 	// cause, such as the loss of a rack.
@@ -83,8 +83,11 @@
 	l.entries = max(1, entries)
 }
 
-// Sent records that a prompt with the given parts was sent to an engine to be answered.
+// Sent records that a prompt with the given parts was sent to an engine to be answered. A request without parts isn't counted.
 func (l *Ledger) Sent(parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.traffic.sent++
@@ -95,7 +98,7 @@
 	}
 }
 
-// Answered records that an engine has answered a prompt with the given parts completely.
+// Answered records that an engine has answered a prompt with the given parts completely; without parts it does nothing.
 func (l *Ledger) Answered(parts []Part) {
 	if len(parts) == 0 {
 		return
--- a/core/blame/ledger_test.go
+++ b/core/blame/ledger_test.go
@@ -348,3 +348,21 @@
 	}
 	wait.Wait()
 }
+
+// TestPlainRequests guards against requests without a prompt making each part look rarer than it is among prompts.
+func TestPlainRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		for n := range 4 {
+			time.Sleep(time.Second)
+			for range 1000 {
+				l.Sent(nil)
+			}
+			l.Sent([]blame.Part{system, bad})
+			l.Merge(crash(n, true, []blame.Part{system, bad}))
+		}
+		if blocks := l.Blocks(); len(blocks) > 0 {
+			t.Errorf("got blocks %v of the only prompts that were sent", blocks)
+		}
+	})
+}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -229,9 +229,7 @@
 	a.conn = conn
 	q.entry.events.Add("attempt", q.id, up.conf.Load().Name, "")
 	attemptCount.Add(1)
-	if len(q.parts) > 0 {
-		q.entry.blame.Sent(q.parts)
-	}
+	q.entry.blame.Sent(q.parts)
 	if err := conn.Send(&run); err != nil {
 		return outcome{fault: fault.New(fault.Unknown, "the upstream is not reachable"), mayStillRun: true}
 	}
