--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -37,6 +37,9 @@
 	leaving        bool             // Every answer states that the replica leaves.
 	retryAfter     string           // Unless empty, every call is turned away with this Retry-After.
 	turnedAway     int              // Number of calls that were turned away.
+	limit          string           // Unless empty, every answer names this limit.
+	busy           bool             // Its report says that an order is in progress.
+	arrivals       []time.Time      // Times of all calls, including those that were turned away.
 	crashPart      string           // The part of prompts that crashes the replica; empty for none.
 	onArrival      func(id string)  // Called with the attempt ID of each request with that part.
 	onCrash        func()           // Called when the replica has crashed so.
@@ -218,6 +221,27 @@
 	r.retryAfter = retryAfter
 }
 
+// SetLimit makes every answer name a limit of requests a second, unless it is empty.
+func (r *Replica) SetLimit(limit string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = limit
+}
+
+// SetBusy sets whether the report says that an order is in progress.
+func (r *Replica) SetBusy(busy bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy = busy
+}
+
+// Arrivals returns the times of all calls in order.
+func (r *Replica) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.arrivals...)
+}
+
 // TurnedAway returns the number of calls that were turned away.
 func (r *Replica) TurnedAway() int {
 	r.mu.Lock()
@@ -251,7 +275,8 @@
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
-	handler, leaving, retryAfter := r.handler, r.leaving, r.retryAfter
+	handler, leaving, retryAfter, limit := r.handler, r.leaving, r.retryAfter, r.limit
+	r.arrivals = append(r.arrivals, time.Now())
 	if retryAfter != "" {
 		r.turnedAway++
 	}
@@ -259,6 +284,9 @@
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	if id := req.Header.Get("X-Attempt-Id"); id != "" {
 		w.Header().Set("X-Attempt-Id", id)
 	}
@@ -344,9 +372,10 @@
 	defer r.mu.Unlock()
 	writeJSON(w, struct {
 		Stage    string `json:"stage"`
+		Busy     bool   `json:"busy"`
 		Sequence int64  `json:"sequence"`
 		Born     int64  `json:"born"`
-	}{Stage: r.stage, Sequence: r.acceptedOrders, Born: r.born})
+	}{Stage: r.stage, Busy: r.busy, Sequence: r.acceptedOrders, Born: r.born})
 }
 
 func (r *Replica) serveOrder(w http.ResponseWriter, req *http.Request) {
--- a/io/tend/tend_test.go
+++ b/io/tend/tend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -260,3 +261,29 @@
 		t.Errorf("tokens %v, want three that rise", tokens)
 	}
 }
+
+// TestReportsWithinLimit guards against an agent that alone sends its engine more than the limit that it names, above all while
+// the engine carries out an order.
+func TestReportsWithinLimit(t *testing.T) {
+	for _, limit := range []float64{0, 0.7, 4} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			t.Parallel()
+			store, engine := simop.NewStore(), simop.NewReplica("i-1", "lm", "decode")
+			t.Cleanup(store.Close)
+			t.Cleanup(engine.Close)
+			engine.SetLimit(fmt.Sprint(limit))
+			engine.SetBusy(true)
+			agent := startAgent(t, store, engine)
+			const length = 9 * time.Second
+			for range 9 {
+				sendDatagram(t, agent, noticeFor(engine, "prefill", 7).Encode())
+				time.Sleep(length / 9)
+			}
+			times := engine.Arrivals()
+			// Callers need the rest of the limit: a tenth is for the agent, besides its first report.
+			if most := 1 + int(max(0.1*limit, 0.1)*length.Seconds()) + 1; len(times) > most || len(times) == 0 {
+				t.Errorf("the engine got %d reports in %v, want 1 to %d", len(times), length, most)
+			}
+		})
+	}
+}
