gate: the limit that an upstream names holds over all entries

Cause: nothing read the header.

Change: entries tell each other limits in alerts; the owner of a limit gives out permits, one a request. Requests go to other upstreams first, else wait in order of urgency as long as they can be in time, else are refused with a time to come back.

--- a/core/alert/alert.go
+++ b/core/alert/alert.go
@@ -5,6 +5,7 @@
 
 	"pimentoseam/core/blame"
 	"pimentoseam/core/leave"
+	"pimentoseam/core/quota"
 )
 
 // MaxLeaving is the maximum number of runs in an alert, which then has about 11 kB.
@@ -20,8 +21,15 @@
 	Leaving   []leave.Run   `cbor:"5,keyasint,omitempty"` // The upstreams that have stated that they leave.
 	Paces     []Pace        `cbor:"6,keyasint,omitempty"` // Speeds of engines that this entry has seen since its last alert.
 	Blame     *blame.Report `cbor:"7,keyasint,omitempty"` // Crashes of engines and the parts of prompts that cause them; nil for none.
+	Limits    []quota.Limit `cbor:"8,keyasint,omitempty"` // Limits that upstreams have named.
+	// Asks and Answers are permits under these limits. An alert that has them goes to one entry and replaces none.
+	Asks    []quota.Ask    `cbor:"9,keyasint,omitempty"`
+	Answers []quota.Answer `cbor:"10,keyasint,omitempty"`
 }
 
+// MaxLimits is the maximum number of limits in an alert, which add about 15 kB.
+const MaxLimits = 200
+
 // MaxPaces is the maximum number of paces in an alert.
 const MaxPaces = 100
 
@@ -34,7 +42,7 @@
 
 // IsEmpty reports whether a states nothing that a beat doesn't.
 func (a *Alert) IsEmpty() bool {
-	return a.Era == 0 && len(a.Leaving) == 0 && len(a.Paces) == 0 && a.Blame.IsEmpty()
+	return a.Era == 0 && len(a.Leaving) == 0 && len(a.Paces) == 0 && a.Blame.IsEmpty() && len(a.Limits) == 0
 }
 
 // BadAlert reports a datagram that can't be decoded as an Alert.
--- a/core/alert/alert_test.go
+++ b/core/alert/alert_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"errors"
+	"net/netip"
 	"reflect"
 	"testing"
 
@@ -12,6 +13,7 @@
 	"pimentoseam/core/beat"
 	"pimentoseam/core/blame"
 	"pimentoseam/core/leave"
+	"pimentoseam/core/quota"
 )
 
 // golden is an alert as released versions encode it.
@@ -65,6 +67,30 @@
 	}
 }
 
+// goldenLimits is an alert with limits and permits as this version encodes it.
+const goldenLimits = "a5016165026008818782070b02191b58016166460a000002092718640981850382070b01187bf50a81830364776169741901c8"
+
+// TestGoldenLimits is TestGolden for limits that upstreams name, and for permits.
+func TestGoldenLimits(t *testing.T) {
+	run := leave.Run{Key: 7, Started: 11}
+	want := &alert.Alert{
+		Name:    "e",
+		Limits:  []quota.Limit{{Run: run, Version: 2, Rate: 7000, Term: 1, Owner: "f", Addr: netip.MustParseAddrPort("10.0.0.2:9993"), Age: 100}},
+		Asks:    []quota.Ask{{ID: 3, Run: run, Priority: 1, Wait: 123, Final: true}},
+		Answers: []quota.Answer{{ID: 3, Outcome: quota.Queued, After: 456}},
+	}
+	if encoded := hex.EncodeToString(want.Encode()); encoded != goldenLimits {
+		t.Errorf("got encoding %s, want %s", encoded, goldenLimits)
+	}
+	data, err := hex.DecodeString(goldenLimits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := alert.Parse(data); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+}
+
 // TestUnknownField checks that an alert of a later version, with a field that this one doesn't know, decodes.
 func TestUnknownField(t *testing.T) {
 	data, err := cbor.Marshal(map[int]any{1: "e", 3: 4, 99: "new"})
@@ -98,6 +124,16 @@
 	if n := len(a.Encode()); n > 16<<10 {
 		t.Errorf("%d bytes, want 16 kB at most", n)
 	}
+	for i := range alert.MaxLimits {
+		a.Limits = append(a.Limits, quota.Limit{
+			Run: leave.Run{Key: 1<<31 + uint32(i), Started: 1 << 41}, Version: 1 << 20, Rate: quota.Unlimited - 1, Term: 1 << 10,
+			Owner: "front-some-zone-name-12", Addr: netip.MustParseAddrPort("10.200.100.100:10000"), Age: 1 << 20,
+		})
+	}
+	if n := len(a.Encode()); n > 32<<10 {
+		t.Errorf("%d bytes with all limits, want 32 kB at most", n)
+	}
+	a.Limits = nil
 	a.Blame = fullReport()
 	if n := len(a.Encode()); n > 48<<10 {
 		t.Errorf("%d bytes with a full report of crashes, want 48 kB at most", n)
--- a/core/call/dispatch.go
+++ b/core/call/dispatch.go
@@ -44,4 +44,22 @@
 	Leaving  bool   // The upstream states that it leaves.
 	// Pause is how long the upstream wants nothing from the VM that it answers; 0 if it doesn't ask for a pause.
 	Pause time.Duration
+	Limit Limit
 }
+
+// Limit is what a reply states about the requests that the upstream takes from all entries together.
+type Limit struct {
+	State     LimitState
+	PerSecond float64 // If the state is Named.
+	Text      string  // As it was given, if the state is Unreadable.
+}
+
+// LimitState tells whether a reply names a limit.
+type LimitState string
+
+// The states of a limit.
+const (
+	Unnamed    LimitState = ""
+	Named      LimitState = "named"
+	Unreadable LimitState = "unreadable" // A value that can't be a limit.
+)
--- /dev/null
+++ b/core/quota/book_test.go
@@ -0,0 +1,449 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pimentoseam/core/leave"
+	"pimentoseam/core/quota"
+)
+
+const (
+	window      = 4 * time.Second // Any such time counts: an upstream may get half more than its limit allows,
+	slack       = 5               // plus so many requests.
+	told        = time.Second     // After the first naming of a limit, this long nothing counts.
+	gossipDelay = 100 * time.Millisecond
+	tellEvery   = 500 * time.Millisecond
+	askTimeout  = 80 * time.Millisecond
+)
+
+var run = leave.Run{Key: 7, Started: 11}
+
+// fleet is entries that exchange limits and asks with delays, and one upstream.
+type fleet struct {
+	mu       sync.Mutex // Held while anything happens.
+	entries  []*quota.Book
+	cut      func(from, to int) bool // Reports whether datagrams from an entry to another one are lost.
+	limit    float64
+	granted  map[uint64]bool
+	pending  map[uint64]quota.Ask
+	arrivals []time.Time
+}
+
+// after calls do after a delay.
+func (f *fleet) after(d time.Duration, do func()) {
+	time.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		do()
+	})
+}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 9)
+}
+
+func newFleet(n int, limit float64) *fleet {
+	f := &fleet{limit: limit, cut: func(int, int) bool { return false }, granted: make(map[uint64]bool), pending: make(map[uint64]quota.Ask)}
+	for i := range n {
+		f.entries = append(f.entries, nil)
+		f.start(i)
+	}
+	return f
+}
+
+// start starts an entry, which knows nothing.
+func (f *fleet) start(i int) {
+	f.entries[i] = quota.New(fmt.Sprint("e", i), addr(i))
+}
+
+func listed(leave.Run) bool { return true }
+
+// tell sends the limits of an entry to all others.
+func (f *fleet) tell(from int) {
+	limits := f.entries[from].Limits(100)
+	if len(limits) == 0 {
+		return
+	}
+	for to, e := range f.entries {
+		if to == from || f.cut(from, to) {
+			continue
+		}
+		f.after(gossipDelay/2+rand.N(gossipDelay/2), func() {
+			_, replies := e.Merge(limits, fmt.Sprint("e", from), listed)
+			f.deliver(to, replies)
+		})
+	}
+}
+
+// deliver sends the replies of an owner.
+func (f *fleet) deliver(owner int, replies []quota.Reply) {
+	for _, r := range replies {
+		to := owner
+		if r.To.IsValid() {
+			to = f.indexOf(r.To)
+		}
+		if f.cut(owner, to) {
+			continue
+		}
+		f.after(time.Millisecond, func() {
+			ask := f.pending[r.Answer.ID]
+			f.entries[to].Answered(ask, r.Answer)
+			if r.Answer.Outcome == quota.Granted && !f.granted[r.Answer.ID] {
+				f.granted[r.Answer.ID] = true
+				f.arrive(to)
+			}
+			if r.Answer.Outcome != quota.Queued {
+				delete(f.pending, r.Answer.ID)
+			}
+		})
+	}
+}
+
+func (f *fleet) indexOf(a netip.AddrPort) int {
+	for i := range f.entries {
+		if addr(i) == a {
+			return i
+		}
+	}
+	return -1
+}
+
+// arrive has a request of an entry reach the upstream, whose answer names the limit.
+func (f *fleet) arrive(entry int) {
+	sent := time.Now()
+	f.arrivals = append(f.arrivals, sent)
+	f.after(5*time.Millisecond, func() {
+		if _, changed := f.entries[entry].Named(run, f.limit, sent); changed {
+			f.tell(entry)
+		}
+	})
+}
+
+// request has an entry send a request if it gets a permit.
+func (f *fleet) request(entry int, wait time.Duration) {
+	e := f.entries[entry]
+	l, ok := e.Get(run)
+	if !ok {
+		f.arrive(entry)
+		return
+	}
+	if e.NoRoom(run) > 0 && wait == 0 {
+		return
+	}
+	ask := quota.Ask{ID: rand.Uint64(), Run: run, Wait: uint32(wait.Milliseconds())}
+	f.pending[ask.ID] = ask
+	owner := f.indexOf(l.Addr)
+	sent := time.Now()
+	if !f.cut(entry, owner) {
+		f.after(time.Millisecond, func() {
+			from := addr(entry)
+			if owner == entry {
+				from = netip.AddrPort{}
+			}
+			f.deliver(owner, f.entries[owner].Ask(ask, from))
+		})
+	}
+	f.after(askTimeout+wait, func() {
+		if _, waits := f.pending[ask.ID]; !waits {
+			return
+		}
+		delete(f.pending, ask.ID)
+		if _, claimed := f.entries[entry].Unanswered(run, sent); claimed {
+			f.tell(entry)
+		}
+	})
+}
+
+// play sends requests a second for a time, each at the entry that pick returns.
+func (f *fleet) play(perSecond int, length, wait time.Duration, pick func(i int) int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	end := time.Now().Add(length)
+	next := time.Now()
+	for i := 0; time.Now().Before(end); i++ {
+		f.mu.Unlock()
+		time.Sleep(time.Second / time.Duration(perSecond))
+		f.mu.Lock()
+		f.request(pick(i), wait)
+		for n, e := range f.entries {
+			replies, _ := e.Due()
+			f.deliver(n, replies)
+		}
+		if time.Now().After(next) {
+			next = next.Add(tellEvery)
+			for n := range f.entries {
+				f.tell(n)
+			}
+		}
+	}
+}
+
+// check fails the test if some window after from has too many requests, or fewer than a share of the limit arrived.
+func (f *fleet) check(t *testing.T, from time.Time, minUse float64) {
+	t.Helper()
+	var times []time.Time
+	for _, at := range f.arrivals {
+		if at.After(from) {
+			times = append(times, at)
+		}
+	}
+	allowed, most := int(1.5*f.limit*window.Seconds())+slack, 0
+	for i, first := 0, 0; i < len(times); i++ {
+		for times[i].Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	length := time.Since(from).Seconds()
+	used := float64(len(times)) / (f.limit * length)
+	t.Logf("%d entries, limit %v: at most %d in %v, %d allowed; %.2f of the limit used", len(f.entries), f.limit, most, window, allowed, used)
+	if most > allowed {
+		t.Errorf("got %d requests in %v, want %d at most", most, window, allowed)
+	}
+	if used < minUse {
+		t.Errorf("got %.2f of the limit used, want %.2f at least", used, minUse)
+	}
+}
+
+// TestLimitIsKeptAndUsed guards against a total that grows with the number of entries, and against shares that nobody can use.
+func TestLimitIsKeptAndUsed(t *testing.T) {
+	for _, n := range []int{1, 3, 9, 70} {
+		for _, limit := range []float64{0.7, 5, 40} {
+			for _, even := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%d entries, limit %v, even %v", n, limit, even), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newFleet(n, limit)
+						began := time.Now()
+						f.play(100, 25*time.Second, 0, func(i int) int {
+							if even {
+								return i % n
+							}
+							return 0
+						})
+						minUse := 0.5
+						if even {
+							minUse = 0.75
+						}
+						f.check(t, began.Add(told), minUse)
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestWaitingAsksUseTheLimit is TestLimitIsKeptAndUsed for requests that wait for a permit.
+func TestWaitingAsksUseTheLimit(t *testing.T) {
+	for _, n := range []int{3, 70} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(n, 5)
+				began := time.Now()
+				f.play(20, 25*time.Second, 500*time.Millisecond, func(i int) int { return i % n })
+				f.check(t, began.Add(told), 0.75)
+			})
+		})
+	}
+}
+
+// TestOwnerIsLost guards against a limit that nobody uses once its owner is lost, or that is given out twice when it returns.
+func TestOwnerIsLost(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		t.Run(fmt.Sprint(back), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const n = 9
+				f := newFleet(n, 5)
+				began := time.Now()
+				pick := func(i int) int { return i % n }
+				f.play(100, 10*time.Second, 0, pick)
+				l, _ := f.entries[0].Get(run)
+				lost := f.indexOf(l.Addr)
+				f.cut = func(from, to int) bool { return from == lost || to == lost }
+				for i, e := range f.entries {
+					if i != lost {
+						e.SetReach(n-1, n)
+					}
+				}
+				f.entries[lost].SetReach(1, n)
+				f.play(100, 15*time.Second, 0, pick)
+				if back {
+					f.cut = func(int, int) bool { return false }
+					for _, e := range f.entries {
+						e.SetReach(n, n)
+					}
+				}
+				f.play(100, 15*time.Second, 0, pick)
+				f.check(t, began.Add(told), 0.5)
+			})
+		})
+	}
+}
+
+// TestEntriesStartAgain guards against a limit that is given out anew by each entry that starts.
+func TestEntriesStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 9
+		f := newFleet(n, 5)
+		began := time.Now()
+		for round := range 20 {
+			f.play(100, 1500*time.Millisecond, 0, func(i int) int { return i % n })
+			f.start(round % n)
+			f.start((round + 4) % n)
+		}
+		f.check(t, began.Add(told), 0.3)
+	})
+}
+
+// TestEntriesOutOfReach guards against entries that each give out the whole limit because they hear nothing of each other.
+func TestEntriesOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 9
+		f := newFleet(n, 8)
+		f.cut = func(from, to int) bool { return from != to }
+		for _, e := range f.entries {
+			e.SetReach(1, n)
+		}
+		began := time.Now()
+		f.play(100, 40*time.Second, 0, func(i int) int { return i % n })
+		f.check(t, began.Add(told+2*time.Second), 0.5)
+	})
+}
+
+// TestLateAnswersChangeNothing guards against answers that were on their way undoing a newer limit or its end.
+func TestLateAnswersChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := quota.New("e", addr(1))
+		first := time.Now()
+		time.Sleep(time.Second)
+		if _, changed := b.Named(run, 7, first); !changed {
+			t.Fatal("the first limit is not known")
+		}
+		time.Sleep(time.Second)
+		sent := time.Now()
+		time.Sleep(time.Second)
+		if _, changed := b.Named(run, 2, sent); !changed {
+			t.Fatal("a lower limit is not known")
+		}
+		if _, changed := b.Named(run, 7, first); changed {
+			t.Error("a late answer has raised the limit")
+		}
+		if _, changed := b.Unnamed(run, first); changed {
+			t.Error("a late answer has ended the limit")
+		}
+		time.Sleep(time.Second)
+		sent = time.Now()
+		time.Sleep(time.Second)
+		if _, changed := b.Unnamed(run, sent); !changed {
+			t.Error("the limit has not ended")
+		}
+		if _, changed := b.Named(run, 2, sent.Add(-time.Millisecond)); changed {
+			t.Error("a late answer has brought the limit back")
+		}
+	})
+}
+
+// TestUrgentAsksGoFirst checks the order of asks that wait, that those which can't be in time are refused at once, and that the
+// queue is bounded.
+func TestUrgentAsksGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := quota.New("e", addr(1))
+		b.Named(run, 10/0.9, time.Now())
+		time.Sleep(10 * time.Second)
+		outcome := make(map[uint64]quota.Outcome)
+		var order []uint64
+		record := func(replies []quota.Reply) {
+			for _, r := range replies {
+				outcome[r.Answer.ID] = r.Answer.Outcome
+				if r.Answer.Outcome == quota.Granted {
+					order = append(order, r.Answer.ID)
+				}
+			}
+		}
+		id := uint64(0)
+		ask := func(priority uint8, wait time.Duration) uint64 {
+			id++
+			record(b.Ask(quota.Ask{ID: id, Run: run, Priority: priority, Wait: uint32(wait.Milliseconds())}, netip.AddrPort{}))
+			return id
+		}
+		for range 3 {
+			ask(2, 0) // What was saved.
+		}
+		refused := ask(0, 0)
+		late, patient, urgent := ask(2, 150*time.Millisecond), ask(2, time.Second), ask(0, time.Second)
+		if outcome[refused] != quota.Refused {
+			t.Errorf("got %q for an ask that can't wait, want a refusal", outcome[refused])
+		}
+		if outcome[late] != quota.Refused {
+			t.Errorf("got %q for an ask that an urgent one has made late, want a refusal at once", outcome[late])
+		}
+		order = nil
+		for range 100 {
+			replies, _ := b.Due()
+			record(replies)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if len(order) != 2 || order[0] != urgent || order[1] != patient {
+			t.Errorf("got permits for %v, want %v", order, []uint64{urgent, patient})
+		}
+		for range 1000 {
+			ask(1, time.Hour)
+		}
+		queued := 0
+		for _, o := range outcome {
+			if o == quota.Queued {
+				queued++
+			}
+		}
+		if queued > 64 {
+			t.Errorf("%d asks wait, want 64 at most", queued)
+		}
+	})
+}
+
+// TestOffersAreSpread guards against callers that are all told to come back at the same time.
+func TestOffersAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := quota.New("e", addr(1))
+		b.Named(run, 5, time.Now())
+		time.Sleep(10 * time.Second)
+		const perPermit = 1000 / 5 // Milliseconds.
+		var last uint32
+		for i := range uint64(20) {
+			r := b.Ask(quota.Ask{ID: i + 1, Run: run, Final: true}, netip.AddrPort{})[0].Answer
+			if r.Outcome == quota.Granted {
+				continue
+			}
+			if last > 0 && r.After < last+perPermit {
+				t.Errorf("got %d ms after %d ms, want %d ms more at least", r.After, last, perPermit)
+			}
+			last = r.After
+		}
+		if last == 0 {
+			t.Error("no ask was refused")
+		}
+	})
+}
+
+// TestRepeatedAskTakesOnePermit checks an ask that is sent again because its answer was lost.
+func TestRepeatedAskTakesOnePermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := quota.New("e", addr(1))
+		b.Named(run, 1, time.Now())
+		time.Sleep(10 * time.Second)
+		ask := quota.Ask{ID: 5, Run: run}
+		for range 3 {
+			if r := b.Ask(ask, addr(2)); len(r) != 1 || r[0].Answer.Outcome != quota.Granted {
+				t.Errorf("got %+v, want the permit", r)
+			}
+		}
+		if r := b.Ask(quota.Ask{ID: 6, Run: run}, addr(2)); r[0].Answer.Outcome != quota.Refused {
+			t.Errorf("got %+v, want no second permit", r)
+		}
+	})
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -54,6 +54,11 @@
 	possibleRuns int                // Number of attempts that may have run.
 	rejections   int                // Number of attempts that an upstream or its circuit breaker rejected, or that failed in prefill.
 	tried        map[*upstream]bool // Upstreams that must not be tried again.
+	permits      map[*upstream]bool // Upstreams with a limit to which the request may be sent once.
+	full         map[*upstream]bool // Upstreams with a limit that have no room for the request.
+	waits        int                // Number of waits for permits.
+	probed       bool               // An upstream was chosen because it hadn't answered for long; see overdue.
+	roomAfter    time.Duration      // Time until an upstream with a limit has room, if the request can't wait for it.
 	headSent     bool               // The response head has been sent to the caller.
 	timeToHead   time.Duration      // Time from the request's arrival until the response head was sent.
 	lastUpstream string             // Id of the upstream of the last attempt.
@@ -74,6 +79,7 @@
 	abandoned result = "abandoned" // The caller has disconnected or the deadline has passed.
 	refused   result = "refused"   // The caller has got a response that tells it when to retry.
 	blocked   result = "blocked"   // No further attempt is made, because prompts with the same parts crash engines.
+	limited   result = "limited"   // No further attempt is made, because the upstreams are at the limits that they have named.
 	// exhausted means that no further attempt is made, because the retry budget is used up or there is no engine to
 	// decode. An earlier attempt may have run.
 	exhausted result = "exhausted"
@@ -132,6 +138,9 @@
 	retryAfter, why := x.retryAfter(), "no upstream"
 	if left, ok := x.gate.blame.Blocked(x.parts); ok && outcome == blocked {
 		retryAfter, why = left, "its parts crash engines"
+	} else if outcome == limited {
+		retryAfter, why = spread(x.roomAfter), "upstreams at their limits"
+		x.count("limit refusals")
 	}
 	// "no upstream" covers every other request that did not run: without a usable upstream, after too many rejections, or when
 	// the retry budget or the time was used up.
@@ -153,6 +162,15 @@
 	return x.gate.shortestPause(x.service) + minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
 }
 
+// maxSpread is the share of a time until there is room by which callers may return later, so that those of one entry and of
+// others don't come back together.
+const maxSpread = 0.25
+
+// spread returns d plus a random part of it.
+func spread(d time.Duration) time.Duration {
+	return d + time.Duration(maxSpread*rand.Float64()*float64(d))
+}
+
 // setRetryAfter sets the Retry-After header, in seconds with three decimals.
 func setRetryAfter(w http.ResponseWriter, retryAfter time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
@@ -192,8 +210,14 @@
 func (x *exchange) runPlain(ctx context.Context) result {
 	outcome := notRun
 	for {
-		u := x.gate.pickPlain(x.service, x.tried)
-		if u == nil || !x.allowAttempt() {
+		u := x.pickWithRoom(ctx)
+		if u == nil {
+			u = x.awaitPermit(ctx, x.fullUpstreams(isAny))
+		}
+		switch {
+		case u == nil && x.roomAfter > 0 && outcome == notRun:
+			return limited
+		case u == nil || !x.allowAttempt():
 			return outcome
 		}
 		x.tried[u] = true
@@ -204,6 +228,21 @@
 	}
 }
 
+// pickWithRoom returns the upstream of a plain service that the request is sent to next, with a permit if that has a limit; nil
+// if none has room.
+func (x *exchange) pickWithRoom(ctx context.Context) *upstream {
+	if u := x.overdue(isAny); u != nil && x.holdPermit(ctx, u) {
+		return u
+	}
+	for ctx.Err() == nil {
+		u := x.gate.pickPlain(x.service, x.tried, x.isFull)
+		if u == nil || x.holdPermit(ctx, u) {
+			return u
+		}
+	}
+	return nil
+}
+
 // attempt sends the request to an upstream and relays the response to the caller.
 func (x *exchange) attempt(ctx context.Context, u *upstream, dispatch *call.Dispatch) result {
 	u.running.Add(1)
@@ -231,7 +270,7 @@
 	dispatch.Instance, x.lastUpstream = info.ID, info.ID
 	dispatch.Remaining = time.Until(x.deadline)
 	// An answer to another request may have asked for a pause since the upstream was chosen.
-	if u.refusingFor() > 0 || !u.breaker.Allow() {
+	if u.refusingFor() > 0 || !x.usePermit(u) || !u.breaker.Allow() {
 		x.rejections++
 		return nil, notRun
 	}
@@ -253,7 +292,7 @@
 	x.delivered++
 	u.lastReceived.Store(proc.Uptime())
 	reply := platform.ReadReply(resp.StatusCode, resp.Header)
-	x.gate.observe(u, reply)
+	x.gate.observe(u, reply, x.sentAt)
 	if reply.NotRun {
 		x.rejections++
 		u.breaker.Success()
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -65,6 +65,7 @@
 	snapshot      atomic.Pointer[upstreamSnapshot] // The upstreams that requests may use.
 	lastPeerState atomic.Pointer[peerState]
 	election      *election
+	permits       *permits
 	server        *front.Server // Serves callers; set before the goroutines that change its limits start.
 	prefillRate   rateMeter
 	stopping      atomic.Bool
@@ -128,6 +129,7 @@
 	g.current.Store(settings)
 	g.gossip = gossip.New(settings.Peer, settings.Name, settings.Zone, g.log, gossipSource{g})
 	g.election = newElection(g)
+	g.permits = newPermits(g)
 	g.watchConfig = follow.New(g.store, g.log, platform.ConfigKey, g.applyConfig, follow.WithPause(configPause),
 		follow.WithWait(watchWait), follow.WithSuspend(g.reliesOnPeers, g.configRevision), follow.WithRetryWait(g.storeRetryWait))
 	g.watchMembers = follow.New(g.store, g.log, platform.MemberPrefix, g.applyMembers, follow.WithPause(memberPause),
@@ -186,6 +188,7 @@
 	go g.watchConfig.Run(workCtx)
 	go g.watchMembers.Run(workCtx)
 	go g.sweep(workCtx)
+	go g.permits.run(workCtx)
 	go g.election.run(ctx)
 	go g.file.Run(workCtx, g.log, g.reload)
 	<-ctx.Done()
@@ -219,6 +222,7 @@
 	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
 	g.meter.Gauge("slowness", g.paces.Median)
 	g.meter.Gauge("blocked sets", func() float64 { return float64(len(g.blame.Blocks())) })
+	g.meter.Gauge("limits", func() float64 { return float64(g.permits.book.InForce()) })
 	g.meter.Gauge("era", func() float64 { return float64(g.store.Era()) })
 	g.meter.Gauge("upstreams", func() float64 { return float64(len(g.snapshot.Load().byKey)) })
 	g.meter.Gauge("entries", func() float64 { return float64(g.gossip.NumEntries()) })
--- a/io/gate/members.go
+++ b/io/gate/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pimentoseam/core/beat"
+	"pimentoseam/core/leave"
 	"pimentoseam/core/member"
 	"pimentoseam/core/stamp"
 	"pimentoseam/io/follow"
@@ -16,6 +17,7 @@
 	known    bool                   // The upstream list has been read.
 	services map[string][]*upstream // By service.
 	byKey    map[uint32]*upstream   // By the hash of the id that beats contain.
+	runs     map[leave.Run]bool     // The runs of all upstreams in the set, usable or not.
 }
 
 // upstreamList is the upstream list as it is in the store, or the changes to it after some revision. Entries fetch it
@@ -172,7 +174,12 @@
 
 // publishSnapshot replaces the snapshot that requests use by one of the present set; the lock must be held.
 func (g *Gate) publishSnapshot() {
-	s := &upstreamSnapshot{known: g.membersKnown, services: make(map[string][]*upstream), byKey: make(map[uint32]*upstream)}
+	s := &upstreamSnapshot{known: g.membersKnown, services: make(map[string][]*upstream), byKey: make(map[uint32]*upstream), runs: make(map[leave.Run]bool)}
+	for _, id := range g.memberSet.IDs() {
+		if m, ok := g.memberSet.Get(id); ok {
+			s.runs[runOf(m)] = true
+		}
+	}
 	for service, list := range g.memberSet.Usable() {
 		for _, m := range list {
 			u := g.upstreamStates[m.ID]
@@ -193,6 +200,7 @@
 		}
 	}
 	g.snapshot.Store(s)
+	g.permits.book.Keep(func(r leave.Run) bool { return s.runs[r] })
 	if next, ok := g.memberSet.NextExpiry(); ok {
 		g.scheduleExpiry(time.Until(next))
 	}
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -85,10 +85,21 @@
 	if _, _, err := g.store.Commit(ctx, nil, []platform.Put{put}, nil); err != nil {
 		return platform.Lease{}, err
 	}
-	page, err := g.store.ReadAll(ctx, entryPrefix, false)
-	if err != nil {
+	if err := g.discover(ctx, false); err != nil {
+		return platform.Lease{}, err
+	}
+	if _, err := g.readBlocks(ctx); err != nil {
 		return platform.Lease{}, err
 	}
+	return lease, nil
+}
+
+// discover adds the entries in the store to the gossip; a stale read, which may be some seconds old, is cheaper.
+func (g *Gate) discover(ctx context.Context, stale bool) error {
+	page, err := g.store.ReadAll(ctx, entryPrefix, stale)
+	if err != nil {
+		return err
+	}
 	for _, item := range page.Items {
 		var p entryRecord
 		if err := json.Unmarshal(item.Value, &p); err != nil {
@@ -97,10 +108,7 @@
 		}
 		g.gossip.Add(p.Peer, p.Zone)
 	}
-	if _, err := g.readBlocks(ctx); err != nil {
-		return platform.Lease{}, err
-	}
-	return lease, nil
+	return nil
 }
 
 // peerState is the summed state of the other entries.
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -75,7 +75,7 @@
 		x.gate.log.Warn("response status wrongly implies that request did not run", "id", x.call.ID, "upstream", id, "status", status)
 		u.breaker.Failure()
 		return true
-	case status >= http.StatusInternalServerError && x.route.Kind == route.Safe && x.mayRetry(ctx, maybeRun) && x.hasUntried():
+	case status >= http.StatusInternalServerError && x.route.Kind == route.Safe && x.mayRetry(ctx, maybeRun) && x.hasUntried(ctx):
 		x.gate.log.Info("upstream returned a server error", "id", x.call.ID, "upstream", id, "status", status)
 		u.breaker.Success()
 		return true
@@ -92,9 +92,9 @@
 	return false
 }
 
-// hasUntried reports whether the service has a usable upstream that was not tried.
-func (x *exchange) hasUntried() bool {
-	return x.gate.pickPlain(x.service, x.tried) != nil
+// hasUntried reports whether the service has a usable upstream that was not tried and has room.
+func (x *exchange) hasUntried(ctx context.Context) bool {
+	return x.pickWithRoom(ctx) != nil
 }
 
 // writeResponse sends a response to the caller; buffered holds the part of the body that has been read already.
--- a/io/gate/reply.go
+++ b/io/gate/reply.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net/netip"
 	"time"
 
 	"pimentoseam/core/alert"
@@ -11,8 +12,9 @@
 	"pimentoseam/io/proc"
 )
 
-// observe records what an upstream states about itself in a reply: that it leaves or wants nothing for some time.
-func (g *Gate) observe(u *upstream, reply call.Reply) {
+// observe records what an upstream states about itself in a reply to a request that was sent at a time: that it leaves, wants
+// nothing for some time or has a limit.
+func (g *Gate) observe(u *upstream, reply call.Reply, sentAt time.Time) {
 	info := u.info.Load()
 	if reply.Instance != "" && reply.Instance != info.ID {
 		return // Another upstream answers at the address.
@@ -21,6 +23,7 @@
 		u.refuse(reply.Pause)
 		g.log.Info("pause", "upstream", info.ID, "for", reply.Pause)
 	}
+	g.observeLimit(u, runOf(info), reply, sentAt)
 	if reply.Leaving && !u.isLeaving() {
 		g.recordLeaving([]leave.Run{runOf(info)}, "itself")
 	}
@@ -85,13 +88,17 @@
 	return &alert.Alert{
 		Paces: paces, Name: settings.Name, ShareAddr: settings.Share.String(), Era: g.store.Era(), Members: g.storeList.Revision,
 		Leaving: g.leaving.Runs(alert.MaxLeaving), Blame: g.blame.Report(),
+		Limits: g.permits.book.Limits(alert.MaxLimits),
 	}
 }
 
 // HandleAlert handles an alert of another entry.
-func (g gossipSource) HandleAlert(a *alert.Alert) {
+func (g gossipSource) HandleAlert(from netip.AddrPort, a *alert.Alert) {
 	g.recordLeaving(a.Leaving, a.Name)
 	g.mergeBlame(a)
+	g.mergeLimits(a)
+	g.permits.handleAsks(from, a.Asks)
+	g.permits.handleAnswers(a.Answers)
 	for _, p := range a.Paces {
 		g.paces.Observe(p.Key, float64(p.Percent)/100)
 	}
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -20,6 +20,7 @@
 	info           atomic.Pointer[member.Upstream]
 	breaker        *health.Breaker
 	replaced       atomic.Bool                      // Another instance responds at its address.
+	hasBadLimit    atomic.Bool                      // It has named a limit that can't be read.
 	pausedUntil    atomic.Int64                     // Process uptime until which it is paused.
 	refusingUntil  atomic.Int64                     // Process uptime until which it has asked to get nothing.
 	leavingSince   atomic.Int64                     // Process uptime since which it is known to leave; 0 if it doesn't.
@@ -169,15 +170,15 @@
 	return proc.Uptime() < u.pausedUntil.Load()
 }
 
-// pickPlain chooses, among the untried upstreams of a plain service (a service without engines), the one with the
-// fewest requests in progress; at equal load it prefers the gate's own availability zone. It returns nil if there is
-// none.
-func (g *Gate) pickPlain(service string, tried map[*upstream]bool) *upstream {
+// pickPlain chooses, among the upstreams of a plain service (a service without engines) that are untried and not full, the
+// one with the fewest requests in progress; at equal load it prefers the gate's own availability zone. It returns nil if there
+// is none.
+func (g *Gate) pickPlain(service string, tried map[*upstream]bool, isFull func(*upstream) bool) *upstream {
 	var usable, lastResort []*upstream
 	drainTime := g.settings().DrainTime.Duration()
 	for _, u := range g.snapshot.Load().services[service] {
 		switch {
-		case !u.isUsable() || tried[u]:
+		case !u.isUsable() || tried[u] || isFull(u):
 		case !u.isLeaving():
 			usable = append(usable, u)
 		case u.isLastResort(drainTime):
--- a/io/gossip/alert.go
+++ b/io/gossip/alert.go
@@ -36,6 +36,6 @@
 		return
 	}
 	if a.Name != g.name {
-		g.delegate.HandleAlert(a)
+		g.delegate.HandleAlert(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), a)
 	}
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -42,6 +42,9 @@
 	// alertInterval is the mean interval between alerts while nothing changes. It repeats lost ones in time for the
 	// two seconds in which a leaving upstream must get no more work.
 	alertInterval = 500 * time.Millisecond
+	// seedTime is how long an entry that was never heard counts as known if only its address is. Entries that run are heard
+	// within two of the periods in which silent ones are sent a beat.
+	seedTime = 5 * time.Second
 	// triggerDelay is the delay of a triggered beat, so that changes in quick succession share one beat.
 	triggerDelay = 20 * time.Millisecond
 	// maxDatagramBytes limits a received datagram; UDP allows no larger ones. The digest of a zone with 2000 busy
@@ -76,8 +79,8 @@
 	HandleBeat(*beat.Beat)
 	// Alert returns what the entry knows that a beat doesn't state.
 	Alert() *alert.Alert
-	// HandleAlert is called with each received alert.
-	HandleAlert(*alert.Alert)
+	// HandleAlert is called with each received alert and the address of its sender.
+	HandleAlert(from netip.AddrPort, a *alert.Alert)
 }
 
 // Error reports that the UDP socket can't be opened.
@@ -121,9 +124,12 @@
 		g.remoteZone(zone).entries[addr] = true
 		return
 	}
-	if _, ok := g.peers[addr]; !ok {
-		g.peers[addr] = &Peer{Addr: addr, addedAt: time.Now()}
+	p, ok := g.peers[addr]
+	if !ok {
+		p = &Peer{Addr: addr, addedAt: time.Now()}
+		g.peers[addr] = p
 	}
+	p.isListed = p.isListed || zone != ""
 }
 
 // Peers returns the other entries of the zone and the entries whose zone isn't known yet, alive or not.
@@ -170,6 +176,29 @@
 	return n
 }
 
+// Reach returns how many entries this one hears, itself included, and how many it knows of. Seeds that were never heard
+// count only for some seconds, since they may be outdated.
+func (g *Gossip) Reach() (heard, known int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard, known = 1, 1
+	for _, p := range g.peers {
+		if p.Alive() {
+			heard++
+		}
+		if p.Beat != nil || p.isListed || time.Since(p.addedAt) < seedTime {
+			known++
+		}
+	}
+	for _, z := range g.zones {
+		known += z.numEntries()
+		if latest := z.latestDigest(); latest != nil && latest.Alive() {
+			heard += z.numEntries()
+		}
+	}
+	return heard, known
+}
+
 // SendsDigest reports whether this entry sends the digest of its zone to other zones.
 func (g *Gossip) SendsDigest() bool {
 	return g.Rank() < maxDigestSenders
--- a/io/gossip/peer.go
+++ b/io/gossip/peer.go
@@ -16,6 +16,7 @@
 	receivedAt time.Time     // When Beat was received.
 	addedAt    time.Time     // When the entry was added; zero for a zone.
 	timeout    time.Duration // Liveness timeout, set with Beat.
+	isListed   bool          // Another source than an address alone has told its zone: the store or the entry itself.
 }
 
 // Alive reports whether a message was received from the peer within its liveness timeout.
@@ -52,6 +53,14 @@
 	return latest
 }
 
+// numEntries returns the number of entries in the zone as far as it is known.
+func (z *remoteZone) numEntries() int {
+	if p := z.latestDigest(); p != nil {
+		return int(p.Beat.Entries)
+	}
+	return len(z.entries)
+}
+
 // target returns the address that digests are sent to: the entry whose digest was received last if it is
 // alive, otherwise a random entry of the zone.
 func (z *remoteZone) target() netip.AddrPort {
