tend: reports and orders keep to a tenth of the engine's limit

Cause: the agent asks for the report every 150 ms while an order is carried out, 27 times in 4 s, and each second otherwise.

Change: at a limit the agent calls at a tenth of it, every 10 s at least; entries leave it that tenth. The engine's role follows the plan so much later.

--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -38,8 +38,13 @@
 	callTimeout        = 500 * time.Millisecond // Short, because the engine is on the same VM.
 	// retryPause is the pause after an order that wasn't accepted. An order without a response may still be
 	// carried out later, but not once another has been accepted, because its order count no longer matches.
-	retryPause     = 2 * time.Second
-	maxReportBytes = 256 << 10
+	retryPause = 2 * time.Second
+	// limitShare is the share of the limit that the engine names which the agent's calls use. Callers need the rest.
+	limitShare = 0.1
+	// maxCallInterval is the longest time between calls to an engine with a limit, however low that is. The engine's role
+	// follows the plan so much later.
+	maxCallInterval = 10 * time.Second
+	maxReportBytes  = 256 << 10
 )
 
 // Tend keeps one engine in the role that the plan assigns to it.
@@ -54,7 +59,9 @@
 	pool          *client.Pool
 	meter         *meter.Meter
 	planChanged   chan struct{}
-	pauseEnd      time.Time // Until then the engine wants no calls.
+	pauseEnd      time.Time  // Until then the engine wants no calls.
+	limit         call.Limit // The limit that the engine names.
+	nextCall      time.Time  // No call is made before, because of the limit.
 
 	mu          sync.Mutex
 	command     plan.Command // The engine's command in the newest known plan.
@@ -243,7 +250,7 @@
 	if !ok {
 		return reportInterval
 	}
-	if pause := time.Until(t.pauseEnd); pause > 0 {
+	if pause := max(time.Until(t.pauseEnd), time.Until(t.nextCall)); pause > 0 {
 		return pause
 	}
 	report, leaving, err := t.fetchReport(ctx)
@@ -292,14 +299,33 @@
 	return retryPause
 }
 
-// observe records a pause that the engine asks for.
+// observe records a pause that the engine asks for, and its limit, which this call takes from.
 func (t *Tend) observe(reply call.Reply) {
+	if reply.Limit != t.limit {
+		t.log.Info("limit", "engine", t.settings.Engine, "limit", reply.Limit.PerSecond, "state", reply.Limit.State, "value", reply.Limit.Text)
+		t.limit = reply.Limit
+	}
+	if t.limit.State == call.Named {
+		interval := maxCallInterval
+		if perSecond := limitShare * t.limit.PerSecond; perSecond > 1/maxCallInterval.Seconds() {
+			interval = time.Duration(float64(time.Second) / perSecond)
+		}
+		t.nextCall = later(t.nextCall, time.Now()).Add(interval)
+	}
 	if reply.Pause > 0 {
 		t.pauseEnd = time.Now().Add(reply.Pause)
 		t.log.Info("pause", "engine", t.settings.Engine, "for", reply.Pause)
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // fetchReport requests the engine's report; leaving tells whether the engine states that it leaves.
 func (t *Tend) fetchReport(ctx context.Context) (report *platform.Report, leaving bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
