--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -280,7 +280,7 @@
 	}
 	limit := 0
 	if service := x.table.Services[x.service]; service != nil {
-		limit = service.MaxConns / 2 // All callers of the upstream share MaxConns.
+		limit = x.gate.connLimit(service.MaxConns)
 	}
 	resp, err := x.gate.pool.Do(ctx, info.Addr, &client.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
@@ -309,6 +309,18 @@
 	return resp, done
 }
 
+// connShare is the share of an upstream's connections that all entries together use. The rest is for the agent beside it and
+// for an entry that the others don't know yet.
+const connShare = 0.9
+
+// connLimit returns how many of the connections that an upstream accepts from all callers this entry may open; 0 for no limit.
+func (g *Gate) connLimit(accepted int) int {
+	if accepted <= 0 {
+		return 0
+	}
+	return max(1, int(connShare*float64(accepted))/g.gossip.NumEntries())
+}
+
 // matches reports whether a response belongs to this request. An error response without an id is accepted on a new
 // connection; on a reused one it may be a late copy of the response to an earlier request.
 func (x *exchange) matches(status int, h http.Header, reused bool) bool {
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -20,29 +20,31 @@
 	server  *httptest.Server
 
 	mu             sync.Mutex
-	stage          string           // Empty for a plain service.
-	born           int64            // Start time in Unix milliseconds, 0 if it is not stated.
-	beats          int64            // Number of registrations so far.
-	acceptedOrders int64            // Number of accepted orders since the start.
-	orderTokens    []int64          // Fencing tokens of the accepted orders.
-	runs           map[string]int   // Number of runs by attempt ID.
-	prefills       map[string]int   // Number of prefills without a run by attempt ID.
-	remaining      []time.Duration  // Remaining times that requests stated, in order of arrival.
-	handler        http.HandlerFunc // Replaces ServeDefault unless nil.
-	events         int              // Number of events of a stream.
-	pause          time.Duration    // Pause after each event.
-	abortAfter     int              // Number of events after which a stream is aborted; 0 for never.
-	disconnects    int              // Number of streams whose callers disconnected.
-	heldCaches     map[string]bool  // Handles of KV caches that were neither taken nor released.
-	leaving        bool             // Every answer states that the replica leaves.
-	retryAfter     string           // Unless empty, every call is turned away with this Retry-After.
-	turnedAway     int              // Number of calls that were turned away.
-	limit          string           // Unless empty, every answer names this limit.
-	busy           bool             // Its report says that an order is in progress.
-	arrivals       []time.Time      // Times of all calls, including those that were turned away.
-	crashPart      string           // The part of prompts that crashes the replica; empty for none.
-	onArrival      func(id string)  // Called with the attempt ID of each request with that part.
-	onCrash        func()           // Called when the replica has crashed so.
+	stage          string            // Empty for a plain service.
+	born           int64             // Start time in Unix milliseconds, 0 if it is not stated.
+	beats          int64             // Number of registrations so far.
+	acceptedOrders int64             // Number of accepted orders since the start.
+	orderTokens    []int64           // Fencing tokens of the accepted orders.
+	runs           map[string]int    // Number of runs by attempt ID.
+	prefills       map[string]int    // Number of prefills without a run by attempt ID.
+	remaining      []time.Duration   // Remaining times that requests stated, in order of arrival.
+	handler        http.HandlerFunc  // Replaces ServeDefault unless nil.
+	events         int               // Number of events of a stream.
+	pause          time.Duration     // Pause after each event.
+	abortAfter     int               // Number of events after which a stream is aborted; 0 for never.
+	disconnects    int               // Number of streams whose callers disconnected.
+	heldCaches     map[string]bool   // Handles of KV caches that were neither taken nor released.
+	leaving        bool              // Every answer states that the replica leaves.
+	retryAfter     string            // Unless empty, every call is turned away with this Retry-After.
+	turnedAway     int               // Number of calls that were turned away.
+	limit          string            // Unless empty, every answer names this limit.
+	busy           bool              // Its report says that an order is in progress.
+	conns          map[net.Conn]bool // The open connections.
+	mostConns      int               // The most connections that were open at a time.
+	arrivals       []time.Time       // Times of all calls, including those that were turned away.
+	crashPart      string            // The part of prompts that crashes the replica; empty for none.
+	onArrival      func(id string)   // Called with the attempt ID of each request with that part.
+	onCrash        func()            // Called when the replica has crashed so.
 }
 
 // Option configures a Replica.
@@ -55,8 +57,9 @@
 
 // NewReplica starts and returns a Replica; stage is "prefill" or "decode", or empty for a plain service.
 func NewReplica(id, service, stage string, opts ...Option) *Replica {
-	r := &Replica{ID: id, Service: service, stage: stage, runs: map[string]int{}, prefills: map[string]int{}, heldCaches: map[string]bool{}, events: 3}
+	r := &Replica{ID: id, Service: service, stage: stage, runs: map[string]int{}, prefills: map[string]int{}, heldCaches: map[string]bool{}, conns: map[net.Conn]bool{}, events: 3}
 	r.server = httptest.NewUnstartedServer(http.HandlerFunc(r.serve))
+	r.server.Config.ConnState = r.countConn
 	for _, opt := range opts {
 		previous := r.server.Listener
 		opt(r)
@@ -221,6 +224,26 @@
 	r.retryAfter = retryAfter
 }
 
+// countConn counts the open connections.
+func (r *Replica) countConn(c net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		r.conns[c] = true
+		r.mostConns = max(r.mostConns, len(r.conns))
+	case http.StateClosed, http.StateHijacked:
+		delete(r.conns, c)
+	}
+}
+
+// MostConns returns the most connections that were open at a time.
+func (r *Replica) MostConns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mostConns
+}
+
 // SetLimit makes every answer name a limit of requests a second, unless it is empty.
 func (r *Replica) SetLimit(limit string) {
 	r.mu.Lock()
