gossip: entries of a zone that was never heard count

Same class: parts of the retry budget and of connections go by the number of entries, and an entry that has heard nothing of a zone took its entries for none though the store lists them. Until the first digest it used too large a part.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -163,15 +163,13 @@
 
 // NumEntries returns the number of entries in all zones, including this one and lost ones. A lost entry of this zone
 // counts until peerExpiry. A lost zone counts with its last digest without a limit: a digest is deleted only when
-// another one of the same zone arrives.
+// another one of the same zone arrives. A zone that was never heard counts with the entries that the store lists.
 func (g *Gossip) NumEntries() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := 1 + len(g.peers)
 	for _, z := range g.zones {
-		if p := z.latestDigest(); p != nil {
-			n += int(p.Beat.Entries)
-		}
+		n += z.numEntries()
 	}
 	return n
 }
