--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -70,6 +70,7 @@
 mutant no-pressure io/server TestSlowReader io/server/stream.go 's/st\.state\.pendingBytes > maxStreamPending/false/'
 mutant late-copy io/gate TestLateCopy io/gate/exchange.go 's/ && !reused\n/\n/'
 mutant any-continuation io/gate TestBrokenStream io/gate/relay.go 's/if x\.headSent \{\n\t\treturn x\.rejectContinuation/if false {\n\t\treturn x.rejectContinuation/'
+mutant any-resumption io/gate TestResumedStreamFails io/gate/relay.go 's/if x\.headSent \{\n\t\treturn x\.rejectContinuation/if false {\n\t\treturn x.rejectContinuation/'
 mutant join-answers io/gate TestBrokenAnswer io/gate/exchange.go 's/if x\.headSent && x\.route\.Kind != route\.Stream/if false/' io/gate/relay.go 's/if x\.headSent \{\n\t\treturn x\.rejectContinuation/if false {\n\t\treturn x.rejectContinuation/'
 mutant forget-leaving io/gate TestServerLeaving io/gate/reply.go 's/if reply\.Leaving && /if false \&\& reply.Leaving \&\& /'
 mutant no-pause io/gate TestRetryAfterPause io/gate/reply.go 's/if reply\.Pause > 0/if false \&\& reply.Pause > 0/'
