gate: the soak has upstreams that name limits

Replicas and engines name limits of 0 to 12 a second for 4 to 10 s beside the other faults. Counted are requests of gates without a fault in the last 3 s. Attempt ids name the gate that was called. The soak draws one of 13 faults in place of 12, so that earlier seeds play other faults.

--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -90,11 +90,14 @@
 	apps      []*relayedReplica // The replicas of the app service that faults are injected into.
 	replicas  []*simop.Replica  // All replicas, including removed ones.
 	results   []callResult
-	served    map[string]int64 // Newest configuration version that each instance of a gate served.
-	crashes   []time.Time      // Of engines under crashPart.
-	late      []string         // Attempt ids of the requests with crashPart that calm gates sent too late after the fifth crash.
-	stopped   bool             // No engine is started again.
-	disturbed []disturbance    // By gate.
+	served    map[string]int64               // Newest configuration version that each instance of a gate served.
+	crashes   []time.Time                    // Of engines under crashPart.
+	limits    map[*simop.Replica]*namedLimit // The limits in force.
+	excesses  []string                       // Limits that calm gates exceeded.
+	late      []string                       // Attempt ids of the requests with crashPart that calm gates sent too late after the fifth crash.
+	stopped   bool                           // No engine is started again.
+	disturbed []disturbance                  // By gate.
+	limiting  sync.WaitGroup                 // The replicas that name limits.
 }
 
 // relayedReplica is a replica of the app service with the relay that gates connect to it through.
@@ -114,7 +117,7 @@
 
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
 // requests of unsafe routes run at most once, and not at all if they were rejected; responses are complete; no gate
-// returns to an older configuration; prompts with a part that crashes engines, which odd seeds send, soon reach none; and
+// returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines, which odd seeds send, soon reach none; and
 // requests are served again soon after the last fault. The environment
 // variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
 // directory for the logs.
@@ -164,6 +167,7 @@
 		}()
 	}
 	faultSeries.Wait()
+	c.limiting.Wait()
 	c.store.SetMode(simop.Up)
 	c.configure()
 	faultsEndedAt := time.Now()
@@ -187,7 +191,7 @@
 	if out, err := exec.Command("go", "build", "-race", "-o", binary, "pimentoseam").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
+	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
 	t.Cleanup(c.stopEngines)
 	c.configure()
 	peer := freeAddrs(t, 1)[0].Port()
@@ -304,7 +308,7 @@
 	pause := func(minMs, maxMs int) { time.Sleep(time.Duration(minMs+random.IntN(maxMs-minMs)) * time.Millisecond) }
 	// The two series select different processes, so none is killed or suspended twice at a time.
 	i := 2*random.IntN(len(c.gates)/2) + series
-	switch random.IntN(12) {
+	switch random.IntN(13) {
 	case 0:
 		defer c.disturb(i)()
 		c.gates[i].end(syscall.SIGKILL)
@@ -370,6 +374,12 @@
 	case 11:
 		slot := random.IntN(len(c.engines))
 		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond, false)
+	case 12:
+		r := c.randomApp(random).Replica
+		if random.IntN(2) == 0 {
+			r = c.randomEngine(random)
+		}
+		c.nameLimit(r, []float64{0, 0.7, 3, 5.5, 12}[random.IntN(5)], time.Duration(4000+random.IntN(6000))*time.Millisecond)
 	}
 }
 
@@ -453,8 +463,8 @@
 			return
 		case <-time.After(time.Duration(5+random.IntN(20)) * time.Millisecond):
 		}
-		id := fmt.Sprintf("c%d-%d", n, seq)
 		gate := random.IntN(len(c.gates))
+		id := fmt.Sprintf("c%d-%d-g%d", n, seq, gate)
 		starts := c.gates[gate].starts.Load()
 		version := c.version.Load()
 		result := callResult{id: id, at: time.Now()}
@@ -469,10 +479,7 @@
 			if random.IntN(2) == 0 {
 				path, result.unsafe = "/fixed/x", true
 			}
-			if result.crash = c.hasCrashes && random.IntN(6) == 0; result.crash {
-				id = fmt.Sprintf("%s-g%d", id, gate)
-				result.id = id
-			}
+			result.crash = c.hasCrashes && random.IntN(6) == 0
 		}
 		before := c.newestServed(gate, starts)
 		req, err := http.NewRequest(http.MethodPost, "http://"+c.settings[gate].Listen.String()+path, strings.NewReader("body"))
@@ -607,6 +614,9 @@
 		c.t.Errorf("%d requests with a part that crashes engines were sent later than %v after the fifth of %d crashes, want %d at most: %v", len(c.late), contactTime, len(c.crashes), allowedAfter, c.late)
 	}
 	c.t.Logf("%d engines crashed under the part", len(c.crashes))
+	for _, e := range c.excesses {
+		c.t.Error(e)
+	}
 	c.mu.Unlock()
 	path := fmt.Sprintf("/gen%d/x", c.version.Load())
 	for _, set := range c.settings {
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -51,18 +51,27 @@
 	return e
 }
 
-// recordCrashArrival checks when a request with crashPart reaches an engine; its id names the gate that sent it.
-func (c *soakCluster) recordCrashArrival(id string) {
+// gateOf returns the gate that an attempt id names.
+func (c *soakCluster) gateOf(id string) int {
 	gate, err := strconv.Atoi(id[strings.LastIndex(id, "g")+1:])
 	if err != nil {
 		c.t.Errorf("attempt id %s names no gate", id)
-		return
 	}
+	return gate
+}
+
+// isCalm reports whether a gate had no fault in the last contactTime; the lock must be held.
+func (c *soakCluster) isCalm(gate int) bool {
+	d := c.disturbed[gate]
+	return d.faults == 0 && time.Since(d.ended) >= contactTime
+}
+
+// recordCrashArrival checks when a request with crashPart reaches an engine; its id names the gate that sent it.
+func (c *soakCluster) recordCrashArrival(id string) {
+	gate := c.gateOf(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := c.disturbed[gate]
-	isCalm := d.faults == 0 && time.Since(d.ended) >= contactTime
-	if isCalm && len(c.crashes) >= allowedCrash && time.Since(c.crashes[allowedCrash-1]) > contactTime {
+	if c.isCalm(gate) && len(c.crashes) >= allowedCrash && time.Since(c.crashes[allowedCrash-1]) > contactTime {
 		c.late = append(c.late, id)
 	}
 }
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -37,6 +37,7 @@
 	leaving        bool              // Every answer states that the replica leaves.
 	retryAfter     string            // Unless empty, every call is turned away with this Retry-After.
 	turnedAway     int               // Number of calls that were turned away.
+	onCall         func(id string)   // Called with the attempt ID of each call, empty if it has none.
 	limit          string            // Unless empty, every answer names this limit.
 	busy           bool              // Its report says that an order is in progress.
 	conns          map[net.Conn]bool // The open connections.
@@ -258,6 +259,13 @@
 	r.busy = busy
 }
 
+// SetOnCall sets a function that is called with the attempt ID of each call, empty if it has none; nil for none.
+func (r *Replica) SetOnCall(onCall func(id string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onCall = onCall
+}
+
 // Arrivals returns the times of all calls in order.
 func (r *Replica) Arrivals() []time.Time {
 	r.mu.Lock()
@@ -300,10 +308,14 @@
 	r.mu.Lock()
 	handler, leaving, retryAfter, limit := r.handler, r.leaving, r.retryAfter, r.limit
 	r.arrivals = append(r.arrivals, time.Now())
+	onCall := r.onCall
 	if retryAfter != "" {
 		r.turnedAway++
 	}
 	r.mu.Unlock()
+	if onCall != nil {
+		onCall(req.Header.Get("X-Attempt-Id"))
+	}
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
