gate: callers come back when an outage of all upstreams may have ended

Callers of a service whose upstreams are all down were told to come back after 80 to 400 ms, while they were still down.

Ruled out: to hold them in the queue of limits. It waits as long as a request can be in time, 150 to 800 ms here, and an outage lasts seconds.

core/outage tells them two seconds, or as long as the outage has lasted, up to 10 s, and half of it more at random. Where an upstream is usable but full nothing changes.

--- a/core/health/breaker.go
+++ b/core/health/breaker.go
@@ -47,6 +47,16 @@
 	return b.failures >= failureThreshold && (b.isProbing || time.Now().Before(b.openUntil))
 }
 
+// OpenFor returns how long no call will be allowed; at most 0 if one may be.
+func (b *Breaker) OpenFor() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failures < failureThreshold {
+		return 0
+	}
+	return time.Until(b.openUntil)
+}
+
 // Success closes the breaker.
 func (b *Breaker) Success() {
 	b.mu.Lock()
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -13,6 +13,7 @@
 	"pimentoseam/core/call"
 	"pimentoseam/core/mean"
 	"pimentoseam/core/member"
+	"pimentoseam/core/outage"
 	"pimentoseam/core/route"
 	"pimentoseam/io/client"
 	"pimentoseam/io/proc"
@@ -39,6 +40,7 @@
 	table              *route.Table
 	service            string
 	budget             *budget.Budget
+	outage             *outage.Outage // Of the service.
 	body               []byte
 	arrived            time.Time
 	deadline           time.Time
@@ -156,10 +158,15 @@
 	maxRetryAfter = 400 * time.Millisecond
 )
 
-// retryAfter returns the time after which the caller of a request that did not run may retry: once the first upstream
-// accepts requests again if all have asked for a pause, otherwise soon.
+// retryAfter returns the time after which the caller of a request that did not run may retry: once upstreams can be expected
+// back if all are down, once the first one accepts requests again if the others have asked for a pause, otherwise soon.
 func (x *exchange) retryAfter() time.Duration {
-	return x.gate.shortestPause(x.service) + minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	wait, isDown := x.gate.unusable(x.service)
+	if isDown {
+		return x.outage.ReturnAfter(wait)
+	}
+	x.outage.End()
+	return wait + minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
 }
 
 // maxSpread is the share of a time until there is room by which callers may return later, so that those of one entry and of
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -19,6 +19,7 @@
 	"pimentoseam/core/cached"
 	"pimentoseam/core/leave"
 	"pimentoseam/core/member"
+	"pimentoseam/core/outage"
 	"pimentoseam/core/pace"
 	"pimentoseam/core/place"
 	"pimentoseam/core/setup"
@@ -91,6 +92,7 @@
 	blocksRead     time.Time            // When the blocks in the store were last read after a crash.
 	upstreamStates map[string]*upstream // This gate's state for each upstream, by id.
 	budgets        map[string]*budget.Budget
+	outages        map[string]*outage.Outage // By service, from its first refusal without an upstream on.
 }
 
 // Option configures a Gate.
@@ -121,7 +123,7 @@
 	g := &Gate{
 		file: o.file, logHandler: logHandler, log: slog.New(logHandler).With("process", settings.Name),
 		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), paces: pace.New(), cached: cached.New(), blame: blame.New(), meter: meter.New(),
-		memberSet: member.New(), leaving: leave.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget),
+		memberSet: member.New(), leaving: leave.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget), outages: make(map[string]*outage.Outage),
 		storeList: upstreamList{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		started:   time.Now(), newerBeats: make(chan *beat.Beat, 1),
 		peerClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
@@ -287,3 +289,15 @@
 	b.SetEntries(g.gossip.NumEntries())
 	return b
 }
+
+// outage returns the state of a service's outages.
+func (g *Gate) outage(service string) *outage.Outage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	o, ok := g.outages[service]
+	if !ok {
+		o = &outage.Outage{}
+		g.outages[service] = o
+	}
+	return o
+}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -132,6 +132,7 @@
 // recordAnswered updates the metrics and logs a complete response.
 func (x *exchange) recordAnswered(resp *client.Response) {
 	x.count("answered")
+	x.outage.End()
 	x.gate.meter.Latency("first "+x.route.Name, x.timeToHead)
 	x.gate.meter.Latency("whole "+x.route.Name, time.Since(x.arrived))
 	x.gate.log.Info("answered", "id", x.call.ID, "route", x.route.Name, "upstream", x.lastUpstream, "config", x.table.Version,
--- a/io/gate/reply.go
+++ b/io/gate/reply.go
@@ -59,23 +59,27 @@
 	}
 }
 
-// shortestPause returns the time until the first upstream of a service accepts requests again if all usable ones have
-// asked for a pause; otherwise it returns 0.
-func (g *Gate) shortestPause(service string) time.Duration {
-	var shortest time.Duration
+// unusable returns the time until the first upstream of a service that can answer callers may get requests, at most 0 if one may
+// now. isDown is set if all of them fail or there is none; otherwise the time is that of the shortest pause that an upstream has
+// asked for.
+func (g *Gate) unusable(service string) (wait time.Duration, isDown bool) {
+	isDown = true
 	for _, u := range g.snapshot.Load().services[service] {
-		if u.replaced.Load() || u.isLeaving() || u.breaker.IsOpen() {
+		if u.replaced.Load() || u.isLeaving() || u.info.Load().Role == member.Prefill {
 			continue
 		}
-		pause := u.refusingFor()
-		if pause <= 0 {
-			return 0
-		}
-		if shortest == 0 || pause < shortest {
-			shortest = pause
+		pause, failing := u.refusingFor(), u.breaker.OpenFor()
+		isSooner := wait == 0 || max(pause, failing) < wait
+		switch {
+		case pause <= 0 && failing <= 0:
+			return 0, false
+		case failing <= 0 && (isDown || isSooner):
+			wait, isDown = pause, false
+		case isDown && isSooner:
+			wait = max(pause, failing)
 		}
 	}
-	return shortest
+	return wait, isDown
 }
 
 // Alert returns what this entry knows that a beat doesn't state.
