quota: a limit that wavers isn't told with each answer

Found by reading: an upstream whose limit goes up and down, or that names it in some answers only, would have all entries send alerts for each answer. A fall still counts at once, a rise or an end a second after the last change at the earliest.

TestWaveringLimitIsToldSeldom (50 answers a second, 20 s): 3 changes a second at most, and the lowest value holds at once. Also tests of the state's end with the run and of requests that the upstream turns away.

--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -24,6 +24,9 @@
 	learnTime = 2 * time.Second
 	// minChange is the smallest change of a rate, as a share of it, that counts. Half of the limit is tolerated.
 	minChange = 0.05
+	// raisePause is the time after a change in which a limit isn't raised and doesn't end, so that one that goes up and down
+	// with each answer isn't told all the time.
+	raisePause = time.Second
 	// maxSilence and maxUnanswered are the time and the number of asks without an answer after which an entry claims a limit.
 	maxSilence    = time.Second
 	maxUnanswered = 3
@@ -74,6 +77,11 @@
 	}
 }
 
+// isPaused reports whether the rate has changed so recently that it doesn't rise.
+func (r *record) isPaused() bool {
+	return time.Since(r.changedAt) < raisePause
+}
+
 // Change is a change of a limit, or of its owner, for the log.
 type Change struct {
 	Limit Limit
@@ -112,7 +120,7 @@
 		return Change{Limit: r.Limit, From: "itself"}, true
 	}
 	r.observe(0)
-	if !sentAt.After(r.changedAt) || !isChange(r.Rate, rate) {
+	if !sentAt.After(r.changedAt) || !isChange(r.Rate, rate) || (rate > r.Rate && r.isPaused()) {
 		return Change{}, false
 	}
 	return b.change(r, rate), true
@@ -135,7 +143,7 @@
 	defer b.mu.Unlock()
 	defer b.updateHasLimits()
 	r := b.limits[run]
-	if r == nil || r.Rate == Unlimited || !sentAt.After(r.changedAt) {
+	if r == nil || r.Rate == Unlimited || !sentAt.After(r.changedAt) || r.isPaused() {
 		return Change{}, false
 	}
 	return b.change(r, Unlimited), true
--- a/core/quota/book_test.go
+++ b/core/quota/book_test.go
@@ -447,3 +447,62 @@
 		}
 	})
 }
+
+// TestStateEndsWithRun checks that limits are dropped with the runs of their upstreams, that those of unlisted runs aren't taken
+// over and that what is told is bounded.
+func TestStateEndsWithRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := quota.New("e", addr(1))
+		for i := range uint32(300) {
+			b.Named(leave.Run{Key: i}, 5, time.Now())
+		}
+		if n := len(b.Limits(200)); n != 200 {
+			t.Errorf("%d limits are told, want 200", n)
+		}
+		b.Keep(func(r leave.Run) bool { return r.Key < 10 })
+		if n := b.InForce(); n != 10 {
+			t.Errorf("%d limits in force, want those of the 10 runs that are listed", n)
+		}
+		told := []quota.Limit{{Run: leave.Run{Key: 10}, Version: 1, Rate: 1000, Term: 1, Owner: "f", Addr: addr(2)}}
+		if changes, _ := b.Merge(told, "f", func(r leave.Run) bool { return r.Key < 10 }); len(changes) > 0 || b.InForce() != 10 {
+			t.Error("the limit of a run that isn't listed is taken over")
+		}
+		b.Keep(func(leave.Run) bool { return false })
+		if b.InForce() != 0 || len(b.Limits(200)) != 0 {
+			t.Error("limits are left")
+		}
+	})
+}
+
+// TestWaveringLimitIsToldSeldom guards against alerts without end for an upstream that names another limit in each answer.
+func TestWaveringLimitIsToldSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := quota.New("e", addr(1))
+		changes, lowest := 0, true
+		const seconds = 20
+		for i := range 50 * seconds {
+			sent := time.Now()
+			time.Sleep(20 * time.Millisecond)
+			var changed bool
+			switch i % 4 {
+			case 0:
+				_, changed = b.Named(run, 9, sent)
+			case 1:
+				_, changed = b.Unnamed(run, sent)
+			case 2, 3:
+				_, changed = b.Named(run, 3, sent)
+				l, ok := b.Get(run)
+				lowest = lowest && ok && l.Rate <= 3000
+			}
+			if changed {
+				changes++
+			}
+		}
+		if changes > 3*seconds {
+			t.Errorf("%d changes in %d s, want three a second at most", changes, seconds)
+		}
+		if !lowest {
+			t.Error("a fall of the limit didn't count at once")
+		}
+	})
+}
--- a/io/gate/limit_test.go
+++ b/io/gate/limit_test.go
@@ -181,14 +181,16 @@
 		stages []string // Of the replicas; the first two name limits.
 		paths  []string
 		even   bool // The callers use all gates, otherwise one.
+		turns  bool // The first replica turns all requests away.
 	}{
-		{"may be repeated", 3, []string{"", "", "", ""}, []string{"/plain/x"}, true},
-		{"may not be repeated", 3, []string{"", "", "", ""}, []string{"/once/x"}, true},
-		{"one gate has all callers", 3, []string{"", "", "", ""}, []string{"/plain/x", "/once/x"}, false},
-		{"streams", 3, []string{"decode", "decode", "decode", "prefill", "prefill"}, []string{"/model/x", "/fixed/x"}, true},
-		{"streams at one gate", 3, []string{"decode", "decode", "decode", "prefill", "prefill"}, []string{"/model/x", "/fixed/x"}, false},
-		{"prefill", 3, []string{"prefill", "decode", "prefill", "decode"}, []string{"/model/x", "/fixed/x"}, true},
-		{"nine gates", 9, []string{"", "", "", ""}, []string{"/plain/x"}, true},
+		{"may be repeated", 3, []string{"", "", "", ""}, []string{"/plain/x"}, true, false},
+		{"may not be repeated", 3, []string{"", "", "", ""}, []string{"/once/x"}, true, false},
+		{"one gate has all callers", 3, []string{"", "", "", ""}, []string{"/plain/x", "/once/x"}, false, false},
+		{"streams", 3, []string{"decode", "decode", "decode", "prefill", "prefill"}, []string{"/model/x", "/fixed/x"}, true, false},
+		{"streams at one gate", 3, []string{"decode", "decode", "decode", "prefill", "prefill"}, []string{"/model/x", "/fixed/x"}, false, false},
+		{"prefill", 3, []string{"prefill", "decode", "prefill", "decode"}, []string{"/model/x", "/fixed/x"}, true, false},
+		{"turned away", 3, []string{"", "", "", ""}, []string{"/plain/x", "/once/x"}, true, true},
+		{"nine gates", 9, []string{"", "", "", ""}, []string{"/plain/x"}, true, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -203,6 +205,9 @@
 				}
 				replicas = append(replicas, newReplicas(t, store, 1, fmt.Sprintf("r%d", i), service, stage)...)
 			}
+			if test.turns {
+				replicas[0].SetHandler(respond(http.StatusServiceUnavailable, "", "X-Not-Executed", "1"))
+			}
 			gates := gateCluster(t, store, test.gates)
 			limits := []float64{5, 7.3}
 			for i, limit := range limits {
