quota: an upstream with a limit that is silent gets one probe in two seconds

Found by reading: an upstream with a limit that nobody has heard from for 2 s got the next request of each caller as long as it said nothing, a dark one too. Each entry now sends one in 2 s. TestSilentUpstreamGetsOneProbe is for the new form; the old one had no test.

--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -57,6 +57,7 @@
 	Limit
 	changedAt  time.Time // When Rate became known here.
 	statedAt   time.Time // When an entry last got an answer of the upstream.
+	probedAt   time.Time // When this entry last sent a request because no entry had got one; see Probe.
 	queue      *queue    // Nil unless this entry is the owner.
 	silentFrom time.Time // When the first ask without an answer was sent; zero if the last one had an answer.
 	unanswered int
@@ -273,15 +274,25 @@
 	return r.told(), true
 }
 
-// IsOverdue reports whether an upstream with a limit hasn't answered any entry for so long that it must get a request.
-func (b *Book) IsOverdue(run leave.Run) bool {
+// Probe reports whether an upstream with a limit hasn't answered any entry for so long that this entry must send it a request
+// now. Until that is answered, it sends another one only after the same time, since the upstream may be silent.
+func (b *Book) Probe(run leave.Run) bool {
 	if !b.hasLimits.Load() {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.limits[run]
-	return r != nil && r.Rate != Unlimited && time.Since(r.statedAt) > probeAfter
+	if r == nil || r.Rate == Unlimited || time.Since(r.statedAt) <= probeAfter || time.Since(r.probedAt) <= probeAfter {
+		return false
+	}
+	r.probedAt = time.Now()
+	return true
+}
+
+// HasLimits reports whether some limit is in force; it takes no lock.
+func (b *Book) HasLimits() bool {
+	return b.hasLimits.Load()
 }
 
 // InForce returns the number of limits in force.
--- a/core/quota/book_test.go
+++ b/core/quota/book_test.go
@@ -506,3 +506,29 @@
 		}
 	})
 }
+
+// TestSilentUpstreamGetsOneProbe guards against an upstream with a limit that gets no request at all, and against one that is dark
+// and gets request after request.
+func TestSilentUpstreamGetsOneProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := quota.New("e", addr(1))
+		b.Named(run, 5, time.Now())
+		if b.Probe(run) {
+			t.Error("a probe although the upstream has just answered")
+		}
+		probes := 0
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if b.Probe(run) {
+				probes++
+			}
+		}
+		if probes < 3 || probes > 5 {
+			t.Errorf("%d probes in 10 s, want 3 to 5", probes)
+		}
+		b.Named(run, 5, time.Now())
+		if b.Probe(run) {
+			t.Error("a probe although the upstream has answered")
+		}
+	})
+}
--- a/io/gate/permit.go
+++ b/io/gate/permit.go
@@ -299,14 +299,14 @@
 	return true
 }
 
-// overdue returns an upstream with a limit that must get a request, so that it can state whether it still has one; nil if there
-// is none. A request is used for that once.
+// overdue returns an upstream with a limit that must get a request now, so that it can state whether it still has one; nil if
+// there is none. A request is used for that once.
 func (x *exchange) overdue(isFit func(u *upstream) bool) *upstream {
-	if x.probed || x.sent || x.prefillSent {
+	if x.probed || x.sent || x.prefillSent || !x.gate.permits.book.HasLimits() {
 		return nil
 	}
 	for _, u := range x.gate.snapshot.Load().services[x.service] {
-		if x.gate.permits.book.IsOverdue(runOf(u.info.Load())) && u.isUsable() && !x.tried[u] && !u.isLeaving() && !u.isPaused() && !x.isFull(u) && isFit(u) {
+		if u.isUsable() && !x.tried[u] && !u.isLeaving() && !u.isPaused() && !x.isFull(u) && isFit(u) && x.gate.permits.book.Probe(runOf(u.info.Load())) {
 			x.probed = true
 			return u
 		}
