quota: the queue of asks is a package of its own, permit

core/quota had seven exported types. The messages are as before (TestGoldenLimits).

scripts/mutants.sh: the naive versions of limits stood after its exit and never ran.

--- a/core/alert/alert.go
+++ b/core/alert/alert.go
@@ -5,6 +5,7 @@
 
 	"pimentoseam/core/blame"
 	"pimentoseam/core/leave"
+	"pimentoseam/core/permit"
 	"pimentoseam/core/quota"
 )
 
@@ -23,8 +24,8 @@
 	Blame     *blame.Report `cbor:"7,keyasint,omitempty"` // Crashes of engines and the parts of prompts that cause them; nil for none.
 	Limits    []quota.Limit `cbor:"8,keyasint,omitempty"` // Limits that upstreams have named.
 	// Asks and Answers are permits under these limits. An alert that has them goes to one entry and replaces none.
-	Asks    []quota.Ask    `cbor:"9,keyasint,omitempty"`
-	Answers []quota.Answer `cbor:"10,keyasint,omitempty"`
+	Asks    []permit.Ask    `cbor:"9,keyasint,omitempty"`
+	Answers []permit.Answer `cbor:"10,keyasint,omitempty"`
 }
 
 // MaxLimits is the maximum number of limits in an alert, which add about 15 kB.
--- a/core/quota/queue.go
+++ b/core/permit/queue.go
@@ -1,6 +1,7 @@
-package quota
+package permit
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -17,8 +18,8 @@
 	repeatTime = time.Second
 )
 
-// queue holds the permits of a limit that its owner may give out, and the asks that wait for one, the most urgent first.
-type queue struct {
+// Queue holds the permits of a limit that its owner may give out, and the asks that wait for one, the most urgent first.
+type Queue struct {
 	tokens  float64
 	at      time.Time // When tokens was up to date. In the future, no permit is given out before.
 	waiting []waiter
@@ -33,13 +34,13 @@
 	deadline time.Time
 }
 
-// newQueue returns a queue that gives out its first permit some time after start.
-func newQueue(start time.Time) *queue {
-	return &queue{at: start, granted: make(map[uint64]time.Time)}
+// New returns a queue that gives out its first permit some time after start.
+func New(start time.Time) *Queue {
+	return &Queue{at: start, granted: make(map[uint64]time.Time)}
 }
 
 // refill adds the permits of the time that has passed at a rate a second.
-func (q *queue) refill(rate float64) {
+func (q *Queue) refill(rate float64) {
 	now := time.Now()
 	if passed := now.Sub(q.at); passed > 0 {
 		q.tokens += rate * passed.Seconds()
@@ -49,14 +50,14 @@
 }
 
 // wait returns the time until there are n permits.
-func (q *queue) wait(n int, rate float64) time.Duration {
+func (q *Queue) wait(n int, rate float64) time.Duration {
 	missing := float64(n) - q.tokens
 	return max(0, time.Until(q.at)) + max(0, time.Duration(missing/rate*float64(time.Second)))
 }
 
-// add handles an ask and returns the answers to it and to those that it displaces.
-func (q *queue) add(a Ask, from netip.AddrPort, rate float64) []Reply {
-	replies := q.advance(rate)
+// Add handles an ask and returns the answers to it and to those that it displaces.
+func (q *Queue) Add(a Ask, from netip.AddrPort, rate float64) []Reply {
+	replies := q.Advance(rate)
 	now := time.Now()
 	if at, ok := q.granted[a.ID]; ok && now.Sub(at) < repeatTime {
 		return append(replies, Reply{To: from, Answer: Answer{ID: a.ID, Outcome: Granted}})
@@ -81,8 +82,8 @@
 	return append(replies, q.drop(rate)...)
 }
 
-// advance gives permits to the asks that wait for them, and refuses those that wait in vain.
-func (q *queue) advance(rate float64) []Reply {
+// Advance gives permits to the asks that wait for them, and refuses those that wait in vain.
+func (q *Queue) Advance(rate float64) []Reply {
 	q.refill(rate)
 	var replies []Reply
 	for len(q.waiting) > 0 && q.tokens >= 1 && !time.Now().Before(q.at) {
@@ -94,7 +95,7 @@
 }
 
 // grant takes a permit for an ask.
-func (q *queue) grant(w waiter) Reply {
+func (q *Queue) grant(w waiter) Reply {
 	now := time.Now()
 	for id, at := range q.granted {
 		if now.Sub(at) >= repeatTime {
@@ -107,7 +108,7 @@
 }
 
 // drop refuses the asks that can't get a permit in time, and those beyond maxQueue.
-func (q *queue) drop(rate float64) []Reply {
+func (q *Queue) drop(rate float64) []Reply {
 	var replies []Reply
 	kept := q.waiting[:0:0]
 	for _, w := range q.waiting {
@@ -122,7 +123,7 @@
 }
 
 // refuse refuses an ask and tells when there will be room. Callers that are to come back get one time after the other.
-func (q *queue) refuse(w waiter, rate float64) Reply {
+func (q *Queue) refuse(w waiter, rate float64) Reply {
 	after := q.wait(len(q.waiting)+1, rate)
 	if w.ask.Final {
 		now := time.Now()
@@ -138,8 +139,18 @@
 	return Reply{To: w.from, Answer: Answer{ID: w.ask.ID, Outcome: Refused, After: milliseconds(max(after, time.Millisecond))}}
 }
 
-// dissolve refuses all asks that wait, since another entry has become the owner.
-func (q *queue) dissolve() []Reply {
+// GrantAll gives a permit to all asks that wait, since the limit has ended.
+func (q *Queue) GrantAll() []Reply {
+	var replies []Reply
+	for _, w := range q.waiting {
+		replies = append(replies, q.grant(w))
+	}
+	q.waiting = nil
+	return replies
+}
+
+// Dissolve refuses all asks that wait, since another entry has become the owner.
+func (q *Queue) Dissolve() []Reply {
 	var replies []Reply
 	for _, w := range q.waiting {
 		replies = append(replies, Reply{To: w.from, Answer: Answer{ID: w.ask.ID, Outcome: Moved}})
@@ -148,8 +159,8 @@
 	return replies
 }
 
-// next returns when advance has something to do, and false if no ask waits.
-func (q *queue) next(rate float64) (time.Time, bool) {
+// Next returns when Advance has something to do, and false if no ask waits.
+func (q *Queue) Next(rate float64) (time.Time, bool) {
 	if len(q.waiting) == 0 {
 		return time.Time{}, false
 	}
@@ -161,3 +172,8 @@
 	}
 	return at, true
 }
+
+// milliseconds returns d in whole milliseconds, rounded up.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(0, (d+time.Millisecond-1)/time.Millisecond), math.MaxUint32))
+}
--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pimentoseam/core/leave"
+	"pimentoseam/core/permit"
 )
 
 const (
@@ -55,11 +56,11 @@
 // record is one limit with what this entry alone knows about it.
 type record struct {
 	Limit
-	changedAt  time.Time // When Rate became known here.
-	statedAt   time.Time // When an entry last got an answer of the upstream.
-	probedAt   time.Time // When this entry last sent a request because no entry had got one; see Probe.
-	queue      *queue    // Nil unless this entry is the owner.
-	silentFrom time.Time // When the first ask without an answer was sent; zero if the last one had an answer.
+	changedAt  time.Time     // When Rate became known here.
+	statedAt   time.Time     // When an entry last got an answer of the upstream.
+	probedAt   time.Time     // When this entry last sent a request because no entry had got one; see Probe.
+	queue      *permit.Queue // Nil unless this entry is the owner.
+	silentFrom time.Time     // When the first ask without an answer was sent; zero if the last one had an answer.
 	unanswered int
 	noRoom     time.Time // Until then the owner has no permit for this entry.
 }
@@ -67,7 +68,7 @@
 // told returns the limit as it is told to other entries.
 func (r *record) told() Limit {
 	l := r.Limit
-	l.Age = milliseconds(time.Since(r.statedAt))
+	l.Age = uint32(min(time.Since(r.statedAt).Milliseconds(), math.MaxUint32))
 	return l
 }
 
@@ -171,18 +172,18 @@
 	if learned := b.started.Add(learnTime); !b.heard && learned.After(start) {
 		start = learned
 	}
-	r.queue = newQueue(start)
+	r.queue = permit.New(start)
 	r.silentFrom, r.unanswered, r.noRoom = time.Time{}, 0, time.Time{}
 }
 
 // Merge adds limits that another entry has told, for the runs that isListed accepts. It returns the changes, and replies to
 // asks that waited here for permits of limits that other entries own now.
-func (b *Book) Merge(limits []Limit, from string, isListed func(leave.Run) bool) ([]Change, []Reply) {
+func (b *Book) Merge(limits []Limit, from string, isListed func(leave.Run) bool) ([]Change, []permit.Reply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.updateHasLimits()
 	var changes []Change
-	var replies []Reply
+	var replies []permit.Reply
 	for i := range limits {
 		l := &limits[i]
 		if !isListed(l.Run) {
@@ -199,7 +200,7 @@
 }
 
 // merge adds one limit; the lock must be held.
-func (b *Book) merge(l *Limit) (changed bool, replies []Reply) {
+func (b *Book) merge(l *Limit) (changed bool, replies []permit.Reply) {
 	r := b.limits[l.Run]
 	if r == nil {
 		r = &record{Limit: *l, changedAt: time.Now()}
@@ -220,7 +221,7 @@
 		return changed, nil
 	}
 	if r.queue != nil {
-		replies = r.queue.dissolve()
+		replies = r.queue.Dissolve()
 	}
 	r.Term, r.Owner, r.Addr, r.queue = l.Term, l.Owner, l.Addr, nil
 	r.silentFrom, r.unanswered, r.noRoom = time.Time{}, 0, time.Time{}
@@ -345,39 +346,36 @@
 
 // Ask handles an ask of the entry at an address, of this entry if that is not valid. It returns replies to it and to asks
 // that it displaces.
-func (b *Book) Ask(a Ask, from netip.AddrPort) []Reply {
+func (b *Book) Ask(a permit.Ask, from netip.AddrPort) []permit.Reply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.limits[a.Run]
 	switch {
 	case r != nil && r.Rate == Unlimited:
-		return []Reply{{To: from, Answer: Answer{ID: a.ID, Outcome: Granted}}}
+		return []permit.Reply{{To: from, Answer: permit.Answer{ID: a.ID, Outcome: permit.Granted}}}
 	case r == nil || r.queue == nil:
-		return []Reply{{To: from, Answer: Answer{ID: a.ID, Outcome: Moved}}}
+		return []permit.Reply{{To: from, Answer: permit.Answer{ID: a.ID, Outcome: permit.Moved}}}
 	}
-	return r.queue.add(a, from, b.rate(r))
+	return r.queue.Add(a, from, b.rate(r))
 }
 
 // Due returns replies to asks whose wait is over, and the time until the next is, 0 if none waits.
-func (b *Book) Due() ([]Reply, time.Duration) {
+func (b *Book) Due() ([]permit.Reply, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var replies []Reply
+	var replies []permit.Reply
 	var next time.Time
 	for _, r := range b.limits {
 		if r.queue == nil {
 			continue
 		}
 		if r.Rate == Unlimited {
-			for _, w := range r.queue.waiting {
-				replies = append(replies, r.queue.grant(w))
-			}
-			r.queue.waiting = nil
+			replies = append(replies, r.queue.GrantAll()...)
 			continue
 		}
 		rate := b.rate(r)
-		replies = append(replies, r.queue.advance(rate)...)
-		if at, ok := r.queue.next(rate); ok && (next.IsZero() || at.Before(next)) {
+		replies = append(replies, r.queue.Advance(rate)...)
+		if at, ok := r.queue.Next(rate); ok && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
@@ -388,7 +386,7 @@
 }
 
 // Answered records an answer of the owner to an ask of this entry.
-func (b *Book) Answered(ask Ask, a Answer) {
+func (b *Book) Answered(ask permit.Ask, a permit.Answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.limits[ask.Run]
@@ -396,7 +394,7 @@
 		return
 	}
 	r.silentFrom, r.unanswered = time.Time{}, 0
-	if a.Outcome == Refused && !ask.Final {
+	if a.Outcome == permit.Refused && !ask.Final {
 		r.noRoom = time.Now().Add(time.Duration(a.After) * time.Millisecond)
 	}
 }
--- a/io/gate/permit.go
+++ b/io/gate/permit.go
@@ -10,6 +10,7 @@
 	"pimentoseam/core/alert"
 	"pimentoseam/core/call"
 	"pimentoseam/core/leave"
+	"pimentoseam/core/permit"
 	"pimentoseam/core/quota"
 	"pimentoseam/io/proc"
 )
@@ -40,12 +41,12 @@
 	kick chan struct{} // Receives a value when an ask has begun to wait here.
 
 	mu      sync.Mutex
-	pending map[uint64]chan quota.Answer // The asks of this entry, by id.
+	pending map[uint64]chan permit.Answer // The asks of this entry, by id.
 }
 
 func newPermits(g *Gate) *permits {
 	s := g.settings()
-	return &permits{gate: g, book: quota.New(s.Name, s.Peer), kick: make(chan struct{}, 1), pending: make(map[uint64]chan quota.Answer)}
+	return &permits{gate: g, book: quota.New(s.Name, s.Peer), kick: make(chan struct{}, 1), pending: make(map[uint64]chan permit.Answer)}
 }
 
 // run gives permits to the asks that wait for them until ctx ends.
@@ -100,7 +101,7 @@
 		if !ok {
 			return true, 0
 		}
-		ask := quota.Ask{ID: rand.Uint64(), Run: run, Priority: uint8(priorityIndex(priority)), Wait: uint32(max(0, time.Until(deadline).Milliseconds())), Final: final}
+		ask := permit.Ask{ID: rand.Uint64(), Run: run, Priority: uint8(priorityIndex(priority)), Wait: uint32(max(0, time.Until(deadline).Milliseconds())), Final: final}
 		answer, answered := p.askOwner(ctx, l, ask)
 		switch {
 		case ctx.Err() != nil:
@@ -110,9 +111,9 @@
 		}
 		p.book.Answered(ask, answer)
 		switch answer.Outcome {
-		case quota.Granted:
+		case permit.Granted:
 			return true, 0
-		case quota.Refused:
+		case permit.Refused:
 			return false, time.Duration(answer.After) * time.Millisecond
 		}
 	}
@@ -120,8 +121,8 @@
 }
 
 // askOwner sends an ask to the owner of a limit and returns its final answer, and false if there was none in time.
-func (p *permits) askOwner(ctx context.Context, l quota.Limit, ask quota.Ask) (quota.Answer, bool) {
-	answers := make(chan quota.Answer, 4) // An ask that is sent again has further answers.
+func (p *permits) askOwner(ctx context.Context, l quota.Limit, ask permit.Ask) (permit.Answer, bool) {
+	answers := make(chan permit.Answer, 4) // An ask that is sent again has further answers.
 	p.mu.Lock()
 	p.pending[ask.ID] = answers
 	p.mu.Unlock()
@@ -138,9 +139,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return quota.Answer{}, false
+			return permit.Answer{}, false
 		case a := <-answers:
-			if a.Outcome != quota.Queued {
+			if a.Outcome != permit.Queued {
 				return a, true
 			}
 			end = sentAt.Add(time.Duration(ask.Wait)*time.Millisecond + answerTimeout)
@@ -151,7 +152,7 @@
 					p.gate.logLimit(c)
 					p.gate.gossip.Trigger()
 				}
-				return quota.Answer{}, false
+				return permit.Answer{}, false
 			}
 			p.send(l, ask)
 			timer.Reset(min(askAgain, time.Until(end)))
@@ -160,19 +161,19 @@
 }
 
 // send sends an ask to the owner of a limit.
-func (p *permits) send(l quota.Limit, ask quota.Ask) {
+func (p *permits) send(l quota.Limit, ask permit.Ask) {
 	settings := p.gate.settings()
 	if l.Owner == settings.Name {
 		p.deliver(p.book.Ask(ask, netip.AddrPort{}))
 		p.wake()
 		return
 	}
-	a := &alert.Alert{Name: settings.Name, Limits: []quota.Limit{l}, Asks: []quota.Ask{ask}}
+	a := &alert.Alert{Name: settings.Name, Limits: []quota.Limit{l}, Asks: []permit.Ask{ask}}
 	p.gate.gossip.Send(l.Addr, a.Encode())
 }
 
 // handleAsks answers the asks of the entry at an address.
-func (p *permits) handleAsks(from netip.AddrPort, asks []quota.Ask) {
+func (p *permits) handleAsks(from netip.AddrPort, asks []permit.Ask) {
 	for _, ask := range asks {
 		p.deliver(p.book.Ask(ask, from))
 	}
@@ -182,7 +183,7 @@
 }
 
 // handleAnswers passes answers on to the asks that wait for them. An ask that has ended gets none.
-func (p *permits) handleAnswers(answers []quota.Answer) {
+func (p *permits) handleAnswers(answers []permit.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range answers {
@@ -194,16 +195,16 @@
 }
 
 // deliver sends replies to the entries that asked. One that asked the wrong entry is told the limits that this one knows.
-func (p *permits) deliver(replies []quota.Reply) {
+func (p *permits) deliver(replies []permit.Reply) {
 	name := p.gate.settings().Name
 	for _, r := range replies {
-		answers := []quota.Answer{r.Answer}
+		answers := []permit.Answer{r.Answer}
 		if !r.To.IsValid() {
 			p.handleAnswers(answers)
 			continue
 		}
 		a := &alert.Alert{Name: name, Answers: answers}
-		if r.Answer.Outcome == quota.Moved {
+		if r.Answer.Outcome == permit.Moved {
 			a.Limits = p.book.Limits(alert.MaxLimits)
 		}
 		p.gate.gossip.Send(r.To, a.Encode())
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -90,13 +90,13 @@
 mutant blame-all core/blame TestRandomCrashes core/blame/ledger.go 's/maxChance = 1e-5/maxChance = 1/'
 mutant blame-moment core/blame TestCommonCause core/blame/ledger.go 's/minSpacing = 250 \*/minSpacing = 0 */; s/maxChance = 1e-5/maxChance = 1/'
 mutant blame-engine io/fleet TestCrashingPrompt io/entry/request.go 's/\); ok \{\n\t\t\treturn q\.finalFault\(fault\.Retry\("prompts/); ok \&\& left < 0 {\n\t\t\treturn q.finalFault(fault.Retry("prompts/'
-exit $bad
 mutant deaf-to-limits io/gate TestLimitOverAllGates io/gate/permit.go 's/case call\.Named:/case "none":/'
 mutant own-limits core/quota TestLimitIsKeptAndUsed core/quota/limit.go 's/if l\.Term != o\.Term \{\n\t\treturn l\.Term > o\.Term\n\t\}/if l != o {\n\t\treturn false\n\t}/'
 mutant whole-reach core/quota TestEntriesOutOfReach core/quota/book.go 's/b\.reach = float64\(max\(1, heard\)\)/b.reach = float64(max(1, heard, known))/'
 mutant late-limit core/quota TestLateAnswersChangeNothing core/quota/book.go 's/!sentAt\.After\(r\.changedAt\)/false/g'
-mutant no-order core/quota TestUrgentAsksGoFirst core/quota/queue.go 's/q\.waiting\[position-1\]\.ask\.Priority > a\.Priority/false/'
+mutant no-order core/permit TestUrgentAsksGoFirst core/permit/queue.go 's/q\.waiting\[position-1\]\.ask\.Priority > a\.Priority/false/'
 mutant no-probe io/gate TestLimitEnds core/quota/book.go 's/callerShare\*float64/0*float64/; s/minRate = 0\.25/minRate = 1e-9/'
 mutant busy-reports io/tend TestReportsWithinLimit io/tend/tend.go 's/if t\.limit\.State == call\.Named/if false \&\& t.limit.State == call.Named/'
 mutant own-connections io/gate TestConnectionsOverAllGates io/gate/exchange.go 's/float64\(accepted\)\)\/g\.gossip\.NumEntries\(\)/float64(accepted))\/2/'
 mutant soon-again io/gate TestReturnAfterOutage io/gate/exchange.go 's/if isDown \{\n\t\treturn x/if false {\n\t\treturn x/'
+exit $bad
