--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -159,15 +159,10 @@
 	return Change{Limit: r.Limit, From: "itself"}
 }
 
-// claim makes this entry the owner of a limit; the lock must be held.
+// claim makes this entry the owner of a limit, which gives out permits some time later; the lock must be held.
 func (b *Book) claim(r *record) {
 	r.Term++
 	r.Owner, r.Addr = b.name, b.addr
-	b.own(r)
-}
-
-// own begins to give out the permits of a limit; the lock must be held.
-func (b *Book) own(r *record) {
 	start := time.Now().Add(settleTime)
 	if learned := b.started.Add(learnTime); !b.heard && learned.After(start) {
 		start = learned
--- a/io/gate/limit_test.go
+++ b/io/gate/limit_test.go
@@ -402,6 +402,47 @@
 	}
 }
 
+// TestAllEnginesAtTheirLimit is TestAllAtTheirLimit for engines: a prompt that is processed has a place where its output is
+// generated, unless that is gone.
+func TestAllEnginesAtTheirLimit(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	const limit = 6
+	prefill := newReplicas(t, store, 3, "p", "lm", "prefill")
+	decode := newReplicas(t, store, 3, "d", "lm", "decode")
+	gates := gateCluster(t, store, 3)
+	for _, r := range append(prefill, decode...) {
+		r.SetLimit(strconv.Itoa(limit))
+	}
+	named := time.Now()
+	load := &limitLoad{}
+	load.run(t, 60, 10*time.Second, []string{"/model/x", "/fixed/x"}, func(i int) *testGate { return gates[i%len(gates)] })
+	end := time.Now()
+	runs := 0
+	for _, r := range decode {
+		checkLimit(t, r, limit, named.Add(toldTime), end, 0)
+		runs += len(r.Arrivals())
+	}
+	if least := int(0.5 * limit * 2 * end.Sub(named).Seconds()); runs < least {
+		t.Errorf("the engines that generate output got %d requests, want %d at least: half of what two of them take", runs, least)
+	}
+	prompts, served := 0, 0
+	for _, r := range prefill {
+		checkLimit(t, r, limit, named.Add(toldTime), end, 0)
+		prompts += len(r.Arrivals())
+	}
+	for _, r := range load.results {
+		if r.status == http.StatusOK {
+			served++
+		}
+	}
+	if 10*(prompts-served) > prompts {
+		t.Errorf("%d prompts were processed for %d answers, want a tenth in vain at most", prompts, served)
+	}
+	checkRefusals(t, load, decode)
+}
+
 // maxTogether is the largest share of the callers refused within a second that may be told to come back in the same quarter of
 // a second.
 const maxTogether = 0.5
