gate: other upstreams' room comes before that of upstreams with a limit

An upstream in need still got its whole limit while the others had room, as it was chosen like any other as long as there were permits.

The bounds are as before.

--- a/io/gate/permit.go
+++ b/io/gate/permit.go
@@ -274,7 +274,7 @@
 func (x *exchange) holdPermit(ctx context.Context, u *upstream) bool {
 	run := runOf(u.info.Load())
 	book := x.gate.permits.book
-	if _, limited := book.Get(run); !limited || x.permits[u] {
+	if !x.gate.isLimited(u) || x.permits[u] {
 		return true
 	}
 	if book.NoRoom(run) <= 0 {
@@ -289,7 +289,7 @@
 
 // usePermit uses the permit of the request at an upstream, and reports whether it may be sent there.
 func (x *exchange) usePermit(u *upstream) bool {
-	if _, limited := x.gate.permits.book.Get(runOf(u.info.Load())); !limited {
+	if !x.gate.isLimited(u) {
 		return true
 	}
 	if !x.permits[u] {
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -171,8 +172,8 @@
 }
 
 // pickPlain chooses, among the upstreams of a plain service (a service without engines) that are untried and not full, the
-// one with the fewest requests in progress; at equal load it prefers the gate's own availability zone. It returns nil if there
-// is none.
+// one with the fewest requests in progress; at equal load it prefers the gate's own availability zone. One with a limit is
+// chosen only if the others have no free slot. It returns nil if there is none.
 func (g *Gate) pickPlain(service string, tried map[*upstream]bool, isFull func(*upstream) bool) *upstream {
 	var usable, lastResort []*upstream
 	drainTime := g.settings().DrainTime.Duration()
@@ -191,6 +192,7 @@
 	if len(usable) == 0 {
 		return nil
 	}
+	usable = g.preferUnlimited(usable, g.hasFreeSlot)
 	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	peerLoads := g.peerLoads()
 	best := usable[0]
@@ -202,6 +204,35 @@
 	return best
 }
 
+// preferUnlimited returns the upstreams without a limit if one of them has room, otherwise all.
+func (g *Gate) preferUnlimited(upstreams []*upstream, hasRoom func(*upstream) bool) []*upstream {
+	if !g.permits.book.HasLimits() {
+		return upstreams
+	}
+	var unlimited []*upstream
+	for _, u := range upstreams {
+		if !g.isLimited(u) {
+			unlimited = append(unlimited, u)
+		}
+	}
+	if slices.ContainsFunc(unlimited, hasRoom) {
+		return unlimited
+	}
+	return upstreams
+}
+
+// isLimited reports whether an upstream has named a limit that is in force.
+func (g *Gate) isLimited(u *upstream) bool {
+	_, limited := g.permits.book.Get(runOf(u.info.Load()))
+	return limited
+}
+
+// hasFreeSlot reports whether an upstream of a plain service can run another request at once.
+func (g *Gate) hasFreeSlot(u *upstream) bool {
+	slots := u.info.Load().Slots
+	return slots <= 0 || int(u.running.Load())+int(g.peerLoads()[u.key].Running) < slots
+}
+
 // crossZonePenalty is the cost of sending a request to another availability zone, as a number of requests in
 // progress.
 const crossZonePenalty = 0.6
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -98,5 +98,5 @@
 mutant no-probe io/gate TestLimitEnds core/quota/book.go 's/callerShare\*float64/0*float64/; s/minRate = 0\.25/minRate = 1e-9/'
 mutant busy-reports io/tend TestReportsWithinLimit io/tend/tend.go 's/if t\.limit\.State == call\.Named/if false \&\& t.limit.State == call.Named/'
 mutant own-connections io/gate TestConnectionsOverAllGates io/gate/exchange.go 's/float64\(accepted\)\)\/g\.gossip\.NumEntries\(\)/float64(accepted))\/2/'
-mutant soon-again io/gate TestReturnAfterOutage io/gate/exchange.go 's/if isDown \{\n\t\treturn x/if false {\n\t\treturn x/'
+mutant soon-again io/gate TestReturnAfterOutage io/gate/exchange.go 's/if isDown \{\n\t\treturn x/if isDown \&\& wait < 0 {\n\t\treturn x/'
 exit $bad
