--- a/io/gate/limit_test.go
+++ b/io/gate/limit_test.go
@@ -411,7 +411,7 @@
 	}
 }
 
-// TestRoomOfOthersComesFirst guards against requests that go to an upstream in need although others have room, and that stay away
+// TestRoomOfOthersComesFirst guards against requests that go to an upstream with a limit although others have room, and that stay away
 // from it when they have none.
 func TestRoomOfOthersComesFirst(t *testing.T) {
 	for _, busy := range []bool{false, true} {
