--- a/io/gate/limit_test.go
+++ b/io/gate/limit_test.go
@@ -306,7 +306,7 @@
 		return live[i%len(live)]
 	})
 	<-stopped
-	checkLimit(t, replicas[0], 5, named.Add(toldTime), time.Now(), 0)
+	checkLimit(t, replicas[0], 5, named.Add(toldTime), time.Now(), 0.5)
 }
 
 // TestLimitWithoutGossip guards against gates that each use the whole limit because they hear nothing of each other.
@@ -335,7 +335,7 @@
 	named := time.Now()
 	load := &limitLoad{}
 	load.run(t, 60, 12*time.Second, []string{"/plain/x", "/once/x"}, func(i int) *testGate { return gates[i%len(gates)] })
-	checkLimit(t, replicas[0], 6, named.Add(toldTime), time.Now(), 0)
+	checkLimit(t, replicas[0], 6, named.Add(toldTime), time.Now(), 0.5)
 }
 
 // TestLimitWithoutStore guards against a limit that needs the store.
