gate: log lines state the digest of a request and the suspects of each crash

The lines of requests that broke off state it, and a line for each end states the digests that broke off there, also for plain services. It is computed only for these lines. The decisions are as before: prompts are blamed, other requests aren't.

A trial with a log line of addresses and headers: callers are told apart by their addresses, ports and attempt ids differ between attempts, and headers such as X-Pin-Ms come at random, so that only those that name a caller belong to the digest.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -14,6 +14,7 @@
 	MaxOutputTokens int           // Maximum number of output tokens.
 	Parts           []Part        // Parts of the prompt in order; only this request uses the last one.
 	LastEventID     string        // Last stream event that the caller received; empty for none.
+	Credentials     string        // What the request states of who calls; empty for nothing.
 }
 
 // Part is a piece of a prompt that other requests may share.
@@ -30,6 +31,18 @@
 	return c.Parts[:len(c.Parts)-1]
 }
 
+// Prompt returns the model and the parts of the prompt as one text, empty without a prompt.
+func (c *Call) Prompt() string {
+	if len(c.Parts) == 0 {
+		return c.Model
+	}
+	fields := []string{c.Model}
+	for _, p := range c.Parts {
+		fields = append(fields, p.ID)
+	}
+	return strings.Join(fields, ",")
+}
+
 // maxLoggedParts and maxLoggedID limit what PartNames returns, since callers choose both.
 const (
 	maxLoggedParts = 8
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -5,12 +5,14 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
 	"pimentoseam/core/blame"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/call"
+	"pimentoseam/core/crash"
 	"pimentoseam/core/mean"
 	"pimentoseam/core/member"
 	"pimentoseam/core/outage"
@@ -48,6 +50,7 @@
 	decodeTime         *mean.Mean    // Mean time from the first event of a stream to its end.
 	priority           int           // 0 is the most urgent.
 	parts              []blame.Part  // The shared parts of the prompt.
+	digest             *crash.Digest // Nil until it is needed; see requestDigest.
 
 	sentAt       time.Time          // When the last attempt was sent.
 	sent         bool               // An upstream has received the request; further attempts are retries.
@@ -69,6 +72,23 @@
 	events       int                // Number of events that were sent to the caller.
 }
 
+// requestDigest returns the digest of the request. It is computed only if needed, since a body can be long.
+func (x *exchange) requestDigest() crash.Digest {
+	if x.digest == nil {
+		caller := x.r.RemoteAddr
+		if addr, err := netip.ParseAddrPort(caller); err == nil {
+			caller = addr.Addr().Unmap().String() // The port differs between attempts.
+		}
+		r := &crash.Request{
+			Service: x.service, Caller: caller + " " + x.call.Credentials, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI,
+			Prompt: x.call.Prompt(), Body: x.body,
+		}
+		d := r.Digest()
+		x.digest = &d
+	}
+	return *x.digest
+}
+
 // result is the outcome of an attempt at an upstream.
 type result string
 
@@ -354,7 +374,7 @@
 // handleError updates the counters and the circuit breaker after a failed attempt and returns its outcome.
 func (x *exchange) handleError(ctx context.Context, u *upstream, run *member.Upstream, err error) result {
 	id := run.ID
-	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "upstream", id, "parts", x.call.PartNames(), "err", err, "took", time.Since(x.arrived))
+	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "request", x.requestDigest(), "upstream", id, "parts", x.call.PartNames(), "err", err, "took", time.Since(x.arrived))
 	var target *client.NoResponse
 	noResponse := errors.As(err, &target)
 	if noResponse {
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"pimentoseam/core/beat"
-	"pimentoseam/core/blame"
 	"pimentoseam/core/health"
 	"pimentoseam/core/member"
 	"pimentoseam/core/place"
@@ -26,7 +25,7 @@
 	refusingUntil  atomic.Int64                     // Process uptime until which it has asked to get nothing.
 	leavingSince   atomic.Int64                     // Process uptime since which it is known to leave; 0 if it doesn't.
 	lastReceived   atomic.Int64                     // Process uptime at which it last sent any bytes.
-	suspects       []blame.Suspect                  // Requests whose connections it has closed; guarded by Gate.mu.
+	suspects       []suspect                        // Requests whose connections it has closed; guarded by Gate.mu.
 	isChecked      bool                             // A check whether it has crashed is in progress; guarded by Gate.mu.
 	running        atomic.Int64                     // Number of requests in progress.
 	prefillBacklog [beat.NumPriorities]atomic.Int64 // Processing time of prompts without a first token, in nanoseconds.
