--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -74,7 +74,7 @@
 	e := simop.NewReplica(fmt.Sprintf("e-%d", f.started), "lm", stage, simop.WithListener(l))
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(6, 15*time.Millisecond, 0)
-	e.SetCrash(crashPart, func(string) { f.recordArrival() }, func() { f.crash(slot, e) })
+	e.SetCrash(&simop.Crash{Matches: simop.HasPart(crashPart), Stage: simop.AfterHead, OnArrival: func(string) { f.recordArrival() }, OnCrash: func() { f.crash(slot, e) }})
 	f.engines[slot] = e
 	f.store.Put("servers/"+e.ID, e.Registration("ready"))
 }
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -42,8 +42,9 @@
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(streamEvents, 15*time.Millisecond, 0)
 	if c.hasCrashes {
-		e.SetCrash(crashPart, c.recordCrashArrival, func() {
-			c.replaceEngine(slot, e, time.Second, true)
+		e.SetCrash(&simop.Crash{
+			Matches: simop.HasPart(crashPart), Stage: simop.AfterHead, OnArrival: c.recordCrashArrival,
+			OnCrash: func() { c.replaceEngine(slot, e, time.Second, true) },
 		})
 	}
 	c.engines[slot], c.replicas = e, append(c.replicas, e)
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -43,9 +44,7 @@
 	conns          map[net.Conn]bool // The open connections.
 	mostConns      int               // The most connections that were open at a time.
 	arrivals       []time.Time       // Times of all calls, including those that were turned away.
-	crashPart      string            // The part of prompts that crashes the replica; empty for none.
-	onArrival      func(id string)   // Called with the attempt ID of each request with that part.
-	onCrash        func()            // Called when the replica has crashed so.
+	crash          *Crash            // The requests that crash the replica; nil for none.
 }
 
 // Option configures a Replica.
@@ -89,44 +88,85 @@
 	r.server.CloseClientConnections()
 }
 
-// crashDelay is the time from the head of a response to the crash.
+// crashDelay is the time from the start of a run, or from the head of its response, to the crash.
 const crashDelay = 40 * time.Millisecond
 
-// SetCrash makes the replica crash when it begins to answer a prompt with a part. It calls onArrival with the attempt ID of
-// each request with the part, prefills included, and onCrash once it has crashed.
-func (r *Replica) SetCrash(part string, onArrival func(id string), onCrash func()) {
+// CrashStage is how far the response has come when a replica crashes.
+type CrashStage string
+
+// The stages of a response.
+const (
+	BeforeHead CrashStage = "before the head"
+	AfterHead  CrashStage = "after the head"
+	InsideBody CrashStage = "inside the body"
+)
+
+// Crash states which requests crash a replica, and when.
+type Crash struct {
+	Matches   func(req *http.Request, body string) bool
+	Stage     CrashStage
+	OnArrival func(id string) // Called with the attempt ID of each of these requests, prefills included.
+	OnCrash   func()          // Called once the replica has crashed.
+}
+
+// SetCrash makes the replica crash under some requests.
+func (r *Replica) SetCrash(c *Crash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashPart, r.onArrival, r.onCrash = part, onArrival, onCrash
+	r.crash = c
+}
+
+// HasPart returns a function that matches prompts with a part.
+func HasPart(part string) func(req *http.Request, body string) bool {
+	return func(req *http.Request, _ string) bool { return strings.Contains(req.Header.Get("X-Prompt-Prefix"), part) }
 }
 
-// crashes reports whether a request crashes the replica.
-func (r *Replica) crashes(req *http.Request) bool {
+// crashUnder returns the crash that a request causes, nil for none. A request whose prompt is only read causes none.
+func (r *Replica) crashUnder(req *http.Request) *Crash {
 	r.mu.Lock()
-	part, onArrival := r.crashPart, r.onArrival
+	c := r.crash
 	r.mu.Unlock()
-	if part == "" || !strings.Contains(req.Header.Get("X-Prompt-Prefix"), part) {
-		return false
+	if c == nil {
+		return nil
+	}
+	body, _ := io.ReadAll(req.Body) // Fails only if the caller has disconnected.
+	req.Body = io.NopCloser(strings.NewReader(string(body)))
+	if !c.Matches(req, string(body)) {
+		return nil
+	}
+	c.OnArrival(req.Header.Get("X-Attempt-Id"))
+	if req.Header.Get("X-Stage") == "prefill" {
+		return nil
 	}
-	onArrival(req.Header.Get("X-Attempt-Id"))
-	return req.Header.Get("X-Stage") != "prefill"
+	return c
 }
 
-// serveCrash begins to respond and crashes.
-func (r *Replica) serveCrash(w http.ResponseWriter, req *http.Request) {
+// serveCrash runs a request and crashes.
+func (r *Replica) serveCrash(w http.ResponseWriter, req *http.Request, c *Crash) {
 	id := req.Header.Get("X-Attempt-Id")
 	r.mu.Lock()
 	r.runs[id]++
-	onCrash := r.onCrash
+	stage := r.stage
 	r.mu.Unlock()
 	w.Header().Set("X-Response-Seal", r.ID+"."+id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush() // Fails only if the caller has disconnected.
+	if stage != "" {
+		w.Header().Set("Content-Type", "text/event-stream")
+	} else {
+		w.Header().Set("Content-Length", "100")
+	}
+	if c.Stage != BeforeHead {
+		w.WriteHeader(http.StatusOK)
+	}
+	if c.Stage == InsideBody {
+		_, _ = io.WriteString(w, "id: 1\ndata: "+r.ID+"\n\nid: 2") // Fails only if the caller has disconnected.
+	}
+	if c.Stage != BeforeHead {
+		_ = http.NewResponseController(w).Flush() // Fails as above.
+	}
 	time.Sleep(crashDelay)
 	go func() {
 		r.Crash()
-		onCrash()
+		c.OnCrash()
 	}()
 	panic(http.ErrAbortHandler)
 }
@@ -341,13 +381,22 @@
 		if !r.RemoveCache(strings.TrimPrefix(req.URL.Path, handlePath)) {
 			w.WriteHeader(http.StatusNotFound)
 		}
-	case r.crashes(req):
-		r.serveCrash(w, req)
-	case handler != nil:
-		handler(w, req)
 	default:
-		r.ServeDefault(w, req)
+		r.serveRun(w, req, handler)
+	}
+}
+
+// serveRun runs a request, which may crash the replica.
+func (r *Replica) serveRun(w http.ResponseWriter, req *http.Request, handler http.HandlerFunc) {
+	if crash := r.crashUnder(req); crash != nil {
+		r.serveCrash(w, req, crash)
+		return
+	}
+	if handler != nil {
+		handler(w, req)
+		return
 	}
+	r.ServeDefault(w, req)
 }
 
 // ServeDefault processes a prompt, streams events if the replica is an engine, or names the replica and the request.
