--- a/core/alert/alert.go
+++ b/core/alert/alert.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"pimentoseam/core/blame"
+	"pimentoseam/core/crash"
 	"pimentoseam/core/leave"
 	"pimentoseam/core/permit"
 	"pimentoseam/core/quota"
@@ -26,6 +27,8 @@
 	// Asks and Answers are permits under these limits. An alert that has them goes to one entry and replaces none.
 	Asks    []permit.Ask    `cbor:"9,keyasint,omitempty"`
 	Answers []permit.Answer `cbor:"10,keyasint,omitempty"`
+	// Crashes has an alert of its own, since both parts can be long.
+	Crashes *crash.Report `cbor:"11,keyasint,omitempty"` // Requests that were at crashes of upstreams; nil for none.
 }
 
 // MaxLimits is the maximum number of limits in an alert, which add about 15 kB.
@@ -43,7 +46,7 @@
 
 // IsEmpty reports whether a states nothing that a beat doesn't.
 func (a *Alert) IsEmpty() bool {
-	return a.Era == 0 && len(a.Leaving) == 0 && len(a.Paces) == 0 && a.Blame.IsEmpty() && len(a.Limits) == 0
+	return a.Era == 0 && len(a.Leaving) == 0 && len(a.Paces) == 0 && a.Blame.IsEmpty() && len(a.Limits) == 0 && a.Crashes.IsEmpty()
 }
 
 // BadAlert reports a datagram that can't be decoded as an Alert.
--- a/core/blame/report.go
+++ b/core/blame/report.go
@@ -13,12 +13,16 @@
 // Part identifies a part of a prompt by the hash of its id.
 type Part uint64
 
-// Parts returns the parts of a prompt, up to maxParts of them.
+// Parts returns the parts of a prompt, up to maxParts of them: the first ones, and the last one, which tells prompts with the
+// same others apart.
 func Parts(parts []call.Part) []Part {
 	list := make([]Part, min(len(parts), maxParts))
 	for i := range list {
 		list[i] = Part(xxhash.Sum64String(parts[i].ID))
 	}
+	if len(parts) > maxParts {
+		list[maxParts-1] = Part(xxhash.Sum64String(parts[len(parts)-1].ID))
+	}
 	return list
 }
 
--- /dev/null
+++ b/core/crash/book_test.go
@@ -0,0 +1,508 @@
+package crash_test
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
+	"pimentoseam/core/leave"
+)
+
+const app = 7 // The service of the tests.
+
+// The requests of the tests: the one at fault, and one that was at crashes by chance.
+var bad, popular = request("bad"), request("popular")
+
+func request(target string) digest.Sum {
+	return (&digest.Request{Target: target}).Sum()
+}
+
+// runs numbers the runs of upstreams.
+type runs uint32
+
+func (r *runs) next() leave.Run {
+	*r++
+	return leave.Run{Key: uint32(*r), Started: 1}
+}
+
+// try makes a trial of a request that crashes its upstream, and fails the test unless the book allows it.
+func try(t *testing.T, b *crash.Book, d digest.Sum, r leave.Run) *crash.Hold {
+	t.Helper()
+	id, ok := b.Begin(d, r)
+	if !ok || !b.Confirm(id) {
+		state, left := b.Check(d)
+		t.Fatalf("no trial of a request that is %v for %v", state, left)
+	}
+	h := b.Crashed(r, app, []digest.Sum{d}, &d)
+	b.End(id)
+	return h
+}
+
+// state fails the test unless a request is in a state.
+func state(t *testing.T, b *crash.Book, d digest.Sum, want crash.State) {
+	t.Helper()
+	if got, left := b.Check(d); got != want {
+		t.Errorf("request is %v for %v, want %v", got, left, want)
+	}
+}
+
+// TestTrials checks that a request is suspect after two crashes, and the times for which trials that fail hold it.
+func TestTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, n := crash.New(), runs(0)
+		other := request("other")
+		b.Crashed(n.next(), app, []digest.Sum{bad, other}, nil)
+		state(t, b, bad, crash.Free)
+		time.Sleep(time.Second)
+		b.Crashed(n.next(), app, []digest.Sum{bad}, nil)
+		state(t, b, other, crash.Free)
+		for _, want := range []time.Duration{2 * time.Second, 10 * time.Minute, time.Hour, time.Hour} {
+			state(t, b, bad, crash.Suspect)
+			b.Answered(app, func() digest.Sum { return other })
+			time.Sleep(time.Second)
+			try(t, b, bad, n.next())
+			if got, left := b.Check(bad); got != crash.Held || left != want {
+				t.Errorf("request is %v for %v, want held for %v", got, left, want)
+			}
+			time.Sleep(want)
+		}
+	})
+}
+
+// TestAnswerClears checks that an answer clears a suspect and one that is held, at all entries, and that an operator can.
+func TestAnswerClears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, peer, n := crash.New(), crash.New(), runs(0)
+		share := func() {
+			time.Sleep(10 * time.Millisecond)
+			peer.Merge(b.Report())
+			b.Merge(peer.Report())
+		}
+		for range 2 {
+			time.Sleep(time.Second)
+			b.Crashed(n.next(), app, []digest.Sum{popular, bad}, nil)
+			share()
+		}
+		state(t, peer, popular, crash.Suspect)
+		if !peer.Answered(app, func() digest.Sum { return popular }) {
+			t.Error("an answer to a suspect made no difference")
+		}
+		share()
+		state(t, b, popular, crash.Free)
+		state(t, peer, popular, crash.Free)
+		for range 2 {
+			try(t, b, bad, n.next())
+			time.Sleep(2 * time.Second)
+			share()
+		}
+		state(t, peer, bad, crash.Held)
+		if !peer.Lift(bad) {
+			t.Error("nothing was lifted")
+		}
+		share()
+		state(t, b, bad, crash.Free)
+		if holds := b.Holds(); len(holds) > 0 {
+			t.Errorf("holds %v after all were lifted", holds)
+		}
+	})
+}
+
+// TestStaleHold checks that an entry that missed an answer doesn't hold the request again.
+func TestStaleHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, isolated, n := crash.New(), crash.New(), runs(0)
+		for range 2 {
+			b.Crashed(n.next(), app, []digest.Sum{popular}, nil)
+		}
+		try(t, b, popular, n.next())
+		isolated.Merge(b.Report())
+		time.Sleep(2 * time.Second)
+		b.Answered(app, func() digest.Sum { return popular })
+		time.Sleep(30 * time.Second)
+		b.Merge(isolated.Report())
+		state(t, b, popular, crash.Free)
+		isolated.Merge(b.Report())
+		state(t, isolated, popular, crash.Free)
+	})
+}
+
+// TestOneTrial checks that of two entries that announce a trial of one request one makes it, that others stay away from its
+// upstream, that the requests which broke off beside it aren't accused, and that the next one may follow as soon as it has ended.
+func TestOneTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 20 {
+			b, peer, n := crash.New(), crash.New(), runs(0)
+			for range 2 {
+				b.Crashed(n.next(), app, []digest.Sum{bad}, nil)
+			}
+			peer.Merge(b.Report())
+			run, peerRun := n.next(), n.next()
+			id, ok := b.Begin(bad, run)
+			peerID, peerOK := peer.Begin(bad, peerRun)
+			if !ok || !peerOK {
+				t.Fatal("trials of a suspect weren't allowed")
+			}
+			b.Merge(peer.Report())
+			peer.Merge(b.Report())
+			first, second := b.Confirm(id), peer.Confirm(peerID)
+			if first == second {
+				t.Fatalf("trials may be made: %v and %v, want one", first, second)
+			}
+			if second {
+				b, peer, id, run = peer, b, peerID, peerRun
+			}
+			peer.Merge(b.Report())
+			if !peer.TrialAt(run) {
+				t.Error("the upstream of the trial isn't known to the other entry")
+			}
+			state(t, peer, bad, crash.Trying)
+			sound := request("sound")
+			for range 3 {
+				peer.Crashed(run, app, []digest.Sum{sound}, nil)
+			}
+			state(t, peer, sound, crash.Free)
+			b.End(id)
+			time.Sleep(10 * time.Millisecond)
+			peer.Merge(b.Report())
+			b.Merge(peer.Report())
+			state(t, peer, bad, crash.Suspect)
+			state(t, b, bad, crash.Suspect)
+		}
+	})
+}
+
+// TestLostTrial checks that a trial of an entry that is gone ends.
+func TestLostTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, peer, n := crash.New(), crash.New(), runs(0)
+		for range 2 {
+			b.Crashed(n.next(), app, []digest.Sum{bad}, nil)
+		}
+		b.Begin(bad, n.next())
+		peer.Merge(b.Report())
+		state(t, peer, bad, crash.Trying)
+		time.Sleep(4 * time.Second)
+		state(t, peer, bad, crash.Suspect)
+	})
+}
+
+// TestCrashLoop has a service crash whatever it gets; a popular request of it must not be held for long, so that it is served
+// soon after the service is.
+func TestCrashLoop(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			b, n := crash.New(), runs(0)
+			for step := range 600 {
+				time.Sleep(time.Duration(100+random.IntN(200)) * time.Millisecond)
+				if random.IntN(3) > 0 {
+					b.Crashed(n.next(), app, []digest.Sum{request(fmt.Sprint(seed, step))}, nil)
+				} else if got, _ := b.Check(popular); got == crash.Suspect {
+					try(t, b, popular, n.next())
+				} else if got == crash.Free {
+					b.Crashed(n.next(), app, []digest.Sum{popular, request(fmt.Sprint("with", step))}, nil)
+				}
+			}
+			if got, left := b.Check(popular); left > 32*time.Second {
+				t.Errorf("seed %d: the request is %v for %v, want 32s at most", seed, got, left)
+			}
+		})
+	}
+}
+
+// TestOrdinaryCrashes has upstreams crash by themselves, alone and together, under a popular request and others, which are
+// answered in between; nothing may be held.
+func TestOrdinaryCrashes(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			b, n := crash.New(), runs(0)
+			for range 300 {
+				time.Sleep(time.Duration(20+random.IntN(400)) * time.Millisecond)
+				if random.IntN(3) == 0 {
+					for range 1 + random.IntN(4) {
+						b.Crashed(n.next(), app, []digest.Sum{popular, request(fmt.Sprint(random.Uint64()))}, nil)
+					}
+				}
+				id, ok := b.Begin(popular, n.next())
+				if ok && !b.Confirm(id) {
+					t.Error("a trial without others wasn't allowed")
+				}
+				b.Answered(app, func() digest.Sum { return popular })
+				b.End(id)
+			}
+			if holds := b.Holds(); len(holds) > 0 {
+				t.Errorf("seed %d: held %v", seed, holds)
+			}
+		})
+	}
+}
+
+// TestTwoAtFault has two requests crash upstreams by turns, one of them always beside a sound one.
+func TestTwoAtFault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, n := crash.New(), runs(0)
+		second, beside := request("second"), request("beside")
+		for step := range 60 {
+			time.Sleep(200 * time.Millisecond)
+			b.Answered(app, func() digest.Sum { return request(fmt.Sprint(step)) })
+			d := []digest.Sum{bad, second}[step%2]
+			switch got, _ := b.Check(d); got {
+			case crash.Free:
+				b.Crashed(n.next(), app, []digest.Sum{beside, d}, nil)
+			case crash.Suspect:
+				try(t, b, d, n.next())
+			}
+			if got, _ := b.Check(beside); got == crash.Suspect {
+				b.Answered(app, func() digest.Sum { return beside })
+			}
+		}
+		state(t, b, bad, crash.Held)
+		state(t, b, second, crash.Held)
+		state(t, b, beside, crash.Free)
+		if int(n) > 8 {
+			t.Errorf("%d crashes, want four of each at most", n)
+		}
+	})
+}
+
+// TestBounded adds far more than the book keeps and reports, as somebody who sends ever new requests at fault would. The one that
+// is held longest stays.
+func TestBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, n := crash.New(), runs(0)
+		for i := range 2000 {
+			time.Sleep(50 * time.Millisecond)
+			d := request(fmt.Sprint(i))
+			for range 2 {
+				many := []digest.Sum{d}
+				for k := range 100 {
+					many = append(many, request(fmt.Sprint(i, k)))
+				}
+				b.Crashed(n.next(), app, many, nil)
+			}
+			try(t, b, d, n.next())
+		}
+		r := b.Report()
+		data, err := cbor.Marshal(r)
+		if err != nil || len(data) > 60_000 || len(r.Holds) > 256 || len(r.Crashes) > 24 {
+			t.Errorf("report of %d bytes, %d holds, %d crashes, %v; want one that fits into a datagram", len(data), len(r.Holds), len(r.Crashes), err)
+		}
+	})
+}
+
+// TestStored checks the form in the store, and that bad values are errors.
+func TestStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const golden = `[{"request":"61c9b2b17db77a27841bbeeabff923bb","strikes":2,"sure":1,"since":946684800000},{"request":"61c9b2b17db77a27841bbeeabff923bb","strikes":0,"sure":0,"since":946684800000,"lifted":true}]`
+		var d digest.Sum
+		if err := d.UnmarshalText([]byte("61c9b2b17db77a27841bbeeabff923bb")); err != nil {
+			t.Fatal(err)
+		}
+		if got := string(crash.EncodeHolds([]crash.Hold{{Request: d, Strikes: 2, Sure: 1}}, []digest.Sum{d})); got != golden {
+			t.Errorf("got %s, want %s", got, golden)
+		}
+		time.Sleep(time.Second)
+		holds, lifted, err := crash.ParseHolds([]byte(golden))
+		if err != nil || len(holds) != 1 || holds[0] != (crash.Hold{Request: d, Strikes: 2, Sure: 1, Age: 1000}) || len(lifted) != 1 || lifted[0] != d {
+			t.Errorf("got %v, %v, %v", holds, lifted, err)
+		}
+		if holds, _, err := crash.ParseHolds(nil); err != nil || len(holds) > 0 {
+			t.Errorf("got %v, %v without a value", holds, err)
+		}
+		for _, bad := range []string{"{", `[{"request":"x"}]`, `[{"request":1}]`, `[{"request":"61c9b2b17db77a27841bbeeabff923bb","strikes":-1}]`} {
+			if _, _, err := crash.ParseHolds([]byte(bad)); err == nil {
+				t.Errorf("%s was accepted", bad)
+			}
+		}
+	})
+}
+
+// TestReportBytes checks the golden bytes of a report, which old and new entries must agree on.
+func TestReportBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, n := crash.New(), runs(0)
+		for range 2 {
+			b.Crashed(n.next(), app, []digest.Sum{bad}, nil)
+			time.Sleep(time.Millisecond)
+		}
+		b.Answered(app, func() digest.Sum { return popular })
+		try(t, b, bad, n.next())
+		time.Sleep(time.Second)
+		r := b.Report()
+		for i := range r.Trials {
+			r.Trials[i].ID = 1 // It is random.
+		}
+		r.Crashes = r.Crashes[:1]
+		data, err := cbor.Marshal(r)
+		const golden = "a40181a501820301021903e80307048150873cb402cbbf0cc46fc44462c2dc3ff005f50381a40150873cb402cbbf0cc46fc44462c2dc3ff002010301041903e80481a50150873cb402cbbf0cc46fc44462c2dc3ff0020103820301041903e805f50581a20107021903e8"
+		if got := hex.EncodeToString(data); err != nil || got != golden {
+			t.Errorf("got %s, %v, want %s", got, err, golden)
+		}
+		var back crash.Report
+		if err := cbor.Unmarshal(data, &back); err != nil || len(back.Holds) != 1 || back.Holds[0].Request != bad {
+			t.Errorf("read back %v, %v", back, err)
+		}
+	})
+}
+
+// TestReportIsCopy guards against reports that share memory with a book in use; the race detector sees it.
+func TestReportIsCopy(t *testing.T) {
+	b := crash.New()
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for n := range 2000 {
+			b.Crashed(leave.Run{Key: uint32(n % 10)}, app, []digest.Sum{request(fmt.Sprint(n))}, nil)
+		}
+	})
+	for range 500 {
+		if _, err := cbor.Marshal(b.Report()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait.Wait()
+}
+
+// site plays entries in several zones with lossy, late alerts, and upstreams that end under one request.
+type site struct {
+	mu     sync.Mutex
+	books  []*crash.Book
+	alert  []chan struct{} // By entry; receives a value when others must know something soon.
+	upAt   []time.Time     // By upstream.
+	starts []int64
+	ends   []time.Time
+	sent   []time.Time // When the request at fault reached upstreams.
+}
+
+// send has an entry send the request at fault, as entries do.
+func (s *site) send(entry int) {
+	b := s.books[entry]
+	state, _ := b.Check(bad)
+	if state == crash.Trying || state == crash.Held {
+		return
+	}
+	s.mu.Lock()
+	up := -1
+	for _, i := range rand.Perm(len(s.upAt)) {
+		if !time.Now().Before(s.upAt[i]) {
+			up = i
+		}
+	}
+	if up < 0 {
+		s.mu.Unlock()
+		return
+	}
+	run := leave.Run{Key: uint32(up), Started: s.starts[up]}
+	s.mu.Unlock()
+	var tried *digest.Sum
+	if state == crash.Suspect {
+		id, ok := b.Begin(bad, run)
+		if !ok {
+			return
+		}
+		defer b.End(id)
+		s.trigger(entry)
+		time.Sleep(100 * time.Millisecond)
+		if !b.Confirm(id) {
+			return
+		}
+		tried = &bad
+	}
+	s.mu.Lock()
+	if s.starts[up] != run.Started || time.Now().Before(s.upAt[up]) {
+		s.mu.Unlock()
+		return
+	}
+	s.sent = append(s.sent, time.Now())
+	s.mu.Unlock()
+	time.Sleep(60 * time.Millisecond)
+	s.mu.Lock()
+	if s.starts[up] == run.Started && !time.Now().Before(s.upAt[up]) {
+		s.ends = append(s.ends, time.Now())
+		s.upAt[up], s.starts[up] = time.Now().Add(3*time.Second), run.Started+1
+	}
+	s.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	b.Crashed(run, app, []digest.Sum{bad}, tried)
+	s.trigger(entry)
+}
+
+func (s *site) trigger(entry int) {
+	select {
+	case s.alert[entry] <- struct{}{}:
+	default:
+	}
+}
+
+// gossip sends the alerts of an entry: one in twenty is lost, others take up to 60 ms.
+func (s *site) gossip(entry int, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-s.alert[entry]:
+			time.Sleep(20 * time.Millisecond)
+		case <-time.After(400*time.Millisecond + rand.N(200*time.Millisecond)):
+		}
+		r := s.books[entry].Report()
+		for peer := range s.books {
+			if peer == entry || r.IsEmpty() || rand.IntN(20) == 0 {
+				continue
+			}
+			go func() {
+				time.Sleep(rand.N(60 * time.Millisecond))
+				if _, changed := s.books[peer].Merge(r); changed {
+					s.trigger(peer)
+				}
+			}()
+		}
+	}
+}
+
+// TestSeventyEntries checks the bound with many entries, to which the request at fault comes at random.
+func TestSeventyEntries(t *testing.T) {
+	for _, size := range []struct{ entries, upstreams int }{{3, 2}, {9, 4}, {70, 6}, {70, 40}} {
+		t.Run(fmt.Sprintf("%d entries, %d upstreams", size.entries, size.upstreams), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &site{upAt: make([]time.Time, size.upstreams), starts: make([]int64, size.upstreams)}
+				stop := make(chan struct{})
+				for range size.entries {
+					s.books = append(s.books, crash.New())
+					s.alert = append(s.alert, make(chan struct{}, 1))
+				}
+				for i := range size.entries {
+					go s.gossip(i, stop)
+				}
+				for range 200 { // Half a minute.
+					time.Sleep(rand.N(300 * time.Millisecond))
+					go s.send(rand.IntN(size.entries))
+				}
+				close(stop)
+				time.Sleep(time.Second)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if len(s.ends) < 3 {
+					t.Fatalf("%d upstreams ended, want three at least", len(s.ends))
+				}
+				late := 0
+				for _, at := range s.sent {
+					if at.Sub(s.ends[2]) > 3*time.Second {
+						late++
+					}
+				}
+				t.Logf("%d upstreams ended, %d arrivals late", len(s.ends), late)
+				if late > 3 {
+					t.Errorf("%d arrivals later than 3s after the third end, want three at most", late)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/core/crash/report.go
@@ -0,0 +1,234 @@
+package crash
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pimentoseam/core/digest"
+	"pimentoseam/core/leave"
+)
+
+// The limits of a report, which then has less than 48 kB and fits into a datagram.
+const (
+	maxReportedCrashes = 24
+	maxReportedAnswers = 256
+)
+
+// Report is what an entry tells the others.
+type Report struct {
+	Crashes []crashNote  `cbor:"1,keyasint,omitempty"` // Recent crashes, the newest first.
+	Answers []answerNote `cbor:"2,keyasint,omitempty"` // Recent answers to requests that were at crashes.
+	Holds   []Hold       `cbor:"3,keyasint,omitempty"` // All requests of which trials have failed.
+	Trials  []trialNote  `cbor:"4,keyasint,omitempty"`
+	Served  []servedNote `cbor:"5,keyasint,omitempty"` // When services last answered any request.
+}
+
+// crashNote is the crash of one run of an upstream.
+type crashNote struct {
+	Run      leave.Run    `cbor:"1,keyasint"`
+	Age      uint32       `cbor:"2,keyasint"` // Milliseconds since the crash.
+	Service  uint32       `cbor:"3,keyasint"`
+	Requests []digest.Sum `cbor:"4,keyasint"` // Those that broke off there, or the one that was tried.
+	Trial    bool         `cbor:"5,keyasint,omitempty"`
+}
+
+// answerNote is an answer to a request that was at crashes.
+type answerNote struct {
+	Request digest.Sum `cbor:"1,keyasint"`
+	Age     uint32     `cbor:"2,keyasint"` // Milliseconds since the answer.
+}
+
+// Hold is a request of which trials have failed.
+type Hold struct {
+	Request digest.Sum `cbor:"1,keyasint"`
+	Strikes uint32     `cbor:"2,keyasint"` // Trials that have crashed an upstream.
+	Sure    uint32     `cbor:"3,keyasint"` // Those that nothing else explains.
+	Age     uint32     `cbor:"4,keyasint"` // Milliseconds since the last one.
+}
+
+// trialNote is a trial in progress, or one that has just ended.
+type trialNote struct {
+	Request digest.Sum `cbor:"1,keyasint"`
+	ID      uint64     `cbor:"2,keyasint"` // Of two trials of one request, the lower one has precedence.
+	Run     leave.Run  `cbor:"3,keyasint"` // The upstream.
+	Age     uint32     `cbor:"4,keyasint"` // Milliseconds since the last word of the entry that makes it.
+	Ended   bool       `cbor:"5,keyasint,omitempty"`
+}
+
+// servedNote states when a service last answered any request.
+type servedNote struct {
+	Service uint32 `cbor:"1,keyasint"`
+	Age     uint32 `cbor:"2,keyasint"` // Milliseconds.
+}
+
+// IsEmpty reports whether r states nothing.
+func (r *Report) IsEmpty() bool {
+	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Holds)+len(r.Trials) == 0
+}
+
+// Left returns how much longer the request must not run; at most 0 if the next trial may be made.
+func (h *Hold) Left() time.Duration {
+	return (&hold{strikes: int(h.Strikes), sure: int(h.Sure)}).pause() - time.Duration(h.Age)*time.Millisecond
+}
+
+// report returns the hold for other entries.
+func (h *hold) report(d digest.Sum) *Hold {
+	return &Hold{Request: d, Strikes: uint32(h.strikes), Sure: uint32(h.sure), Age: ageOf(h.last)}
+}
+
+// Holds returns the requests of which trials have failed, the latest first.
+func (b *Book) Holds() []Hold {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire()
+	return b.holdList()
+}
+
+// holdList is Holds; the lock must be held.
+func (b *Book) holdList() []Hold {
+	list := make([]Hold, 0, len(b.holds))
+	for d, h := range b.holds {
+		list = append(list, *h.report(d))
+	}
+	slices.SortFunc(list, func(a, o Hold) int { return compareAge(a.Age, o.Age) })
+	return list
+}
+
+// Report returns what other entries must know, nil for nothing.
+func (b *Book) Report() *Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire()
+	r := &Report{Holds: b.holdList()}
+	for run, e := range b.crashes {
+		if time.Since(e.at) < reportTTL {
+			r.Crashes = append(r.Crashes, crashNote{Run: run, Age: ageOf(e.at), Service: e.service, Requests: slices.Clone(e.suspects), Trial: e.isTrial})
+		}
+	}
+	slices.SortFunc(r.Crashes, func(a, o crashNote) int { return compareAge(a.Age, o.Age) })
+	r.Crashes = r.Crashes[:min(len(r.Crashes), maxReportedCrashes)]
+	for d, a := range b.answers {
+		if time.Since(a.told) < reportTTL {
+			r.Answers = append(r.Answers, answerNote{Request: d, Age: ageOf(a.at)})
+		}
+	}
+	slices.SortFunc(r.Answers, func(a, o answerNote) int { return compareAge(a.Age, o.Age) })
+	r.Answers = r.Answers[:min(len(r.Answers), maxReportedAnswers)]
+	for id, t := range b.trials {
+		if t.isOwn && !t.hasEnded {
+			t.renewed = time.Now()
+		}
+		r.Trials = append(r.Trials, trialNote{Request: t.request, ID: id, Run: t.run, Age: ageOf(t.renewed), Ended: t.hasEnded})
+	}
+	if r.IsEmpty() {
+		return nil
+	}
+	for service, at := range b.served {
+		r.Served = append(r.Served, servedNote{Service: service, Age: ageOf(at)})
+	}
+	return r
+}
+
+// Merge adds what another entry reports. It returns the holds that are new and whether anything is that others must know soon.
+func (b *Book) Merge(r *Report) (added []Hold, changed bool) {
+	if r.IsEmpty() {
+		return nil, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire()
+	for _, s := range r.Served {
+		b.serve(s.Service, timeOf(s.Age))
+	}
+	for _, a := range r.Answers {
+		if time.Duration(a.Age)*time.Millisecond < evidenceTTL && b.answer(a.Request, timeOf(a.Age)) {
+			changed = true
+		}
+	}
+	for _, c := range r.Crashes {
+		at := timeOf(c.Age)
+		if time.Since(at) < evidenceTTL && b.addCrash(c.Run, &event{at: at, service: c.Service, suspects: slices.Clone(c.Requests), isTrial: c.Trial}) {
+			changed = true
+		}
+	}
+	for _, h := range r.Holds {
+		if b.mergeHold(h) {
+			added, changed = append(added, h), true
+		}
+	}
+	for _, t := range r.Trials {
+		changed = b.mergeTrial(t) || changed
+	}
+	if changed {
+		b.update()
+	}
+	return added, changed
+}
+
+// mergeHold adds the hold of a request that another entry reports, and reports whether it is news.
+func (b *Book) mergeHold(h Hold) bool {
+	last := timeOf(h.Age)
+	if h.Strikes == 0 || time.Since(last) >= holdTTL {
+		return false
+	}
+	if a := b.answers[h.Request]; a != nil && a.at.After(last) {
+		a.told = time.Now() // The other entry doesn't know it.
+		return false
+	}
+	known := b.holds[h.Request]
+	if known == nil {
+		b.addHold(h.Request, &hold{strikes: int(h.Strikes), sure: int(h.Sure), last: last})
+		return true
+	}
+	isNews := int(h.Strikes) > known.strikes || int(h.Sure) > known.sure
+	known.strikes, known.sure = max(known.strikes, int(h.Strikes)), max(known.sure, int(h.Sure))
+	if isNews && last.After(known.last) {
+		known.last = last
+	}
+	return isNews
+}
+
+// mergeTrial adds a trial that another entry reports, and reports whether it is news.
+func (b *Book) mergeTrial(t trialNote) bool {
+	renewed := timeOf(t.Age)
+	if time.Since(renewed) >= trialLease {
+		return false
+	}
+	known := b.trials[t.ID]
+	switch {
+	case known == nil && len(b.trials) < maxTrials:
+		b.trials[t.ID] = &trial{request: t.Request, run: t.Run, renewed: renewed, hasEnded: t.Ended}
+		return !t.Ended
+	case known == nil || known.isOwn:
+		return false // This entry knows better of its own ones.
+	}
+	isNews := t.Ended && !known.hasEnded
+	known.hasEnded = known.hasEnded || t.Ended
+	if renewed.After(known.renewed) {
+		known.renewed = renewed
+	}
+	return isNews
+}
+
+// Known returns the number of requests that are suspect and of those of which trials have failed.
+func (b *Book) Known() (suspects, held int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for n := range maps.Values(b.counts) {
+		if n >= suspectCrashes {
+			suspects++
+		}
+	}
+	return suspects, len(b.holds)
+}
+
+// ageOf returns the milliseconds since a time.
+func ageOf(at time.Time) uint32 {
+	return uint32(max(0, time.Since(at)).Milliseconds())
+}
+
+// timeOf returns the time that was age milliseconds ago.
+func timeOf(age uint32) time.Time {
+	return time.Now().Add(-time.Duration(age) * time.Millisecond)
+}
--- /dev/null
+++ b/core/digest/doc.go
@@ -0,0 +1,2 @@
+// Package digest identifies requests by what makes two of them the same.
+package digest
--- a/core/crash/digest.go
+++ b/core/digest/sum.go
@@ -1,4 +1,4 @@
-package crash
+package digest
 
 import (
 	"crypto/sha256"
@@ -6,38 +6,38 @@
 	"encoding/hex"
 )
 
-// digestBytes is the size of a Digest: 128 bits of a cryptographic hash, so that nobody can make a request that collides with
+// sumBytes is the size of a Sum: 128 bits of a cryptographic hash, so that nobody can make a request that collides with
 // one of another caller.
-const digestBytes = 16
+const sumBytes = 16
 
-// Digest identifies all copies of a request, whichever entry they reach.
-type Digest [digestBytes]byte
+// Sum identifies all copies of a request, whichever entry they reach.
+type Sum [sumBytes]byte
 
-// BadDigest reports a text that isn't a Digest.
-type BadDigest struct {
+// BadSum reports a text that isn't a Sum.
+type BadSum struct {
 	Text string
 }
 
 // Error returns a message with the text.
-func (e *BadDigest) Error() string {
+func (e *BadSum) Error() string {
 	return "no digest of a request: " + e.Text
 }
 
 // String returns the digest in hexadecimal.
-func (d Digest) String() string {
+func (d Sum) String() string {
 	return hex.EncodeToString(d[:])
 }
 
 // MarshalText returns the digest in hexadecimal.
-func (d Digest) MarshalText() ([]byte, error) {
+func (d Sum) MarshalText() ([]byte, error) {
 	return []byte(d.String()), nil
 }
 
-// UnmarshalText decodes what MarshalText returned; its error is a *BadDigest.
-func (d *Digest) UnmarshalText(text []byte) error {
+// UnmarshalText decodes what MarshalText returned; its error is a *BadSum.
+func (d *Sum) UnmarshalText(text []byte) error {
 	parsed, err := hex.DecodeString(string(text))
-	if err != nil || len(parsed) != digestBytes {
-		return &BadDigest{Text: string(text)}
+	if err != nil || len(parsed) != sumBytes {
+		return &BadSum{Text: string(text)}
 	}
 	copy(d[:], parsed)
 	return nil
@@ -55,8 +55,8 @@
 	Body    []byte
 }
 
-// Digest returns the digest of the request.
-func (r *Request) Digest() Digest {
+// Sum returns the digest of the request.
+func (r *Request) Sum() Sum {
 	h := sha256.New()
 	var size [8]byte
 	add := func(field []byte) {
@@ -69,5 +69,5 @@
 		add([]byte(field))
 	}
 	add(r.Body)
-	return Digest(h.Sum(nil)[:digestBytes])
+	return Sum(h.Sum(nil)[:sumBytes])
 }
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -133,6 +133,7 @@
 	// stopCancel keeps the end of the context from interrupting the connection; it reports whether it was in time.
 	stopCancel func() bool
 	complete   bool // The body was read to its end.
+	failed     bool // Reading the body has failed.
 }
 
 // Read reads the body; it returns io.EOF only at the end of the complete body.
@@ -141,9 +142,15 @@
 	if err == io.EOF {
 		r.complete = true
 	}
+	r.failed = r.failed || (err != nil && err != io.EOF)
 	return n, err
 }
 
+// Failed reports whether reading the body has failed.
+func (r *Response) Failed() bool {
+	return r.failed
+}
+
 // Close resets the connection if the body was not read to its end, which cancels the request at the upstream. If it
 // was, Close returns the connection to the pool, or closes it if it can't be reused: the context has ended, the
 // response ends with the connection, unexpected data has arrived, or the request body wasn't written completely.
--- a/io/gate/blocks.go
+++ b/io/gate/blocks.go
@@ -11,8 +11,8 @@
 
 const (
 	blocksKey = "blocked" // Store key of the blocked parts of prompts.
-	// blocksReadPause is the minimum time between two reads of that key after crashes.
-	blocksReadPause = time.Second
+	// storedReadPause is the minimum time between two reads of that key and of holdsKey after crashes.
+	storedReadPause = time.Second
 )
 
 // writtenBlocks is what the leader knows of the blocks in the store.
@@ -36,23 +36,32 @@
 	return item, nil
 }
 
-// readBlocksAfterCrash reads the blocks in the store, in case no other entry can reach this one, unless that was done within
-// blocksReadPause.
-func (g *Gate) readBlocksAfterCrash() {
+// readStoredAfterCrash reads the blocks and holds in the store, in case no other entry can reach this one, unless that was done
+// within storedReadPause.
+func (g *Gate) readStoredAfterCrash() {
 	g.mu.Lock()
-	isDue := time.Since(g.blocksRead) >= blocksReadPause
+	isDue := time.Since(g.storedRead) >= storedReadPause
 	if isDue {
-		g.blocksRead = time.Now()
+		g.storedRead = time.Now()
 	}
 	g.mu.Unlock()
 	if !isDue {
 		return
 	}
-	if _, err := g.readBlocks(context.Background()); err != nil {
-		g.log.Info("blocks not read", "err", err)
+	if err := g.readStored(context.Background()); err != nil {
+		g.log.Info("blocks and holds not read", "err", err)
 	}
 }
 
+// readStored reads the blocks and holds in the store.
+func (g *Gate) readStored(ctx context.Context) error {
+	if _, err := g.readBlocks(ctx); err != nil {
+		return err
+	}
+	_, _, err := g.readHolds(ctx)
+	return err
+}
+
 // writeBlocks writes the blocks in force to the store if those there differ, so that they outlast a loss of all entries.
 func (l *election) writeBlocks(ctx context.Context) {
 	if l.hasWritten(l.gate.blame.Blocks()) {
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"pimentoseam/core/alert"
+	"pimentoseam/core/beat"
 	"pimentoseam/core/blame"
 	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
 	"pimentoseam/core/member"
 	"pimentoseam/io/proc"
 	"pimentoseam/io/socket"
@@ -26,75 +28,144 @@
 
 // suspect is a request that was at an upstream when that closed its connection.
 type suspect struct {
-	digest crash.Digest
-	prompt blame.Suspect // Without parts if it isn't suspect as a prompt.
+	digest  digest.Sum
+	isTrial bool
+	prompt  blame.Suspect // Without parts if it isn't suspect as a prompt.
+}
+
+// breakage is the connections that one run of an upstream closed in the middle of requests.
+type breakage struct {
+	run      *member.Upstream
+	at       time.Time
+	suspects []suspect
+	checked  chan struct{} // Closed when the upstream's address was tried.
 }
 
 // accuse records that an upstream closed the connection of this request. If the upstream has crashed, the request is suspect of
-// having caused it, depending on how far its response has come.
+// having caused it; as a prompt that depends on how far its response has come.
 func (x *exchange) accuse(u *upstream, run *member.Upstream, begun bool, events int) {
 	if u.isLeaving() {
 		return
 	}
-	s := suspect{digest: x.requestDigest()}
+	s := suspect{digest: x.requestDigest(), isTrial: x.trial != nil}
 	if events == 0 || time.Since(x.sentAt) <= maxOnset {
 		s.prompt = blame.Suspect{Begun: begun && events == 0, Parts: x.parts}
 	}
-	x.gate.accuse(u, run, s)
+	x.checked = x.gate.accuse(u, run, s)
+	if x.trial != nil {
+		x.trial.isUnclear = true
+	}
 }
 
-// accuse adds a suspect to those of an upstream, and checks whether the upstream has crashed unless that is being done.
-func (g *Gate) accuse(u *upstream, run *member.Upstream, s suspect) {
+// accuse adds a suspect to those of an upstream, and checks whether the upstream has crashed unless that is being done. The
+// channel is closed after the check.
+func (g *Gate) accuse(u *upstream, run *member.Upstream, s suspect) <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(u.suspects) < maxCrashSuspects {
-		u.suspects = append(u.suspects, s)
+	if u.breakage == nil {
+		u.breakage = &breakage{run: run, at: time.Now(), checked: make(chan struct{})}
+		go g.checkCrash(u, u.breakage)
 	}
-	if !u.isChecked {
-		u.isChecked = true
-		go g.checkCrash(u, run)
+	if len(u.breakage.suspects) < maxCrashSuspects {
+		u.breakage.suspects = append(u.breakage.suspects, s)
 	}
+	return u.breakage.checked
 }
 
-// checkCrash finds out whether the upstream's address refuses connections, which shows that its process has ended, and blames
-// its suspects if so. A partition or a loss of power is no crash.
-func (g *Gate) checkCrash(u *upstream, run *member.Upstream) {
+// checkCrash finds out whether the upstream's address refuses connections, which shows that its process has ended, and records
+// the crash if so. A partition or a loss of power is no crash. One that is back already shows by another run; see
+// confirmBreakages.
+func (g *Gate) checkCrash(u *upstream, b *breakage) {
+	crashed := socket.IsRefused(b.run.Addr)
 	proc.Sleep(context.Background(), crashSettle)
-	crashed := socket.IsRefused(run.Addr)
+	crashed = crashed || socket.IsRefused(b.run.Addr)
 	g.mu.Lock()
-	suspects := u.suspects
-	u.suspects, u.isChecked = nil, false
+	u.breakage = nil
+	if !crashed {
+		g.keepBreakage(b)
+	}
 	g.mu.Unlock()
+	g.log.Warn("upstream closed connections", "upstream", b.run.ID, "service", b.run.Service, "crashed", crashed, "requests", len(b.suspects), "suspects", digestNames(b.suspects))
+	if crashed {
+		u.breaker.Trip()
+		g.recordCrash(b)
+	}
+	close(b.checked)
+}
+
+// recordCrash blames the suspects of an upstream that has crashed, tells the other entries and logs what follows.
+func (g *Gate) recordCrash(b *breakage) {
+	g.meter.Count("upstream crashes")
+	var requests []digest.Sum
+	var tried *digest.Sum
 	var prompts []blame.Suspect
-	begun := 0
-	for _, s := range suspects {
-		if len(s.prompt.Parts) == 0 {
-			continue
+	for _, s := range b.suspects {
+		requests = append(requests, s.digest)
+		if s.isTrial {
+			tried = &s.digest
 		}
-		prompts = append(prompts, s.prompt)
-		if s.prompt.Begun {
-			begun++
+		if len(s.prompt.Parts) > 0 {
+			prompts = append(prompts, s.prompt)
 		}
 	}
-	g.log.Warn("upstream closed connections", "upstream", run.ID, "service", run.Service, "crashed", crashed, "requests", len(suspects), "begun", begun, "suspects", digestNames(suspects))
-	if !crashed {
-		return
+	isExplained := tried != nil || g.crashes.TrialAt(runOf(b.run))
+	hold := g.crashes.Crashed(runOf(b.run), beat.Key(b.run.Service), requests, tried)
+	suspects, held := g.crashes.Known()
+	g.log.Warn("upstream crashed", "upstream", b.run.ID, "service", b.run.Service, "requests", len(requests), "trial", tried != nil, "suspects", suspects, "held", held, "age", time.Since(b.at))
+	if hold != nil {
+		g.logHolds([]crash.Hold{*hold}, "itself")
 	}
-	g.meter.Count("upstream crashes")
-	if len(prompts) == 0 {
-		return
+	// A crash whose cause is known says nothing of the parts of prompts that were there.
+	var blocks []blame.Block
+	if len(prompts) > 0 && !isExplained {
+		g.meter.Count("engine crashes")
+		g.blame.SetEntries(g.gossip.NumEntries())
+		blocks = g.blame.Crashed(runOf(b.run), prompts)
+		g.logBlocks(blocks, "itself")
 	}
-	u.breaker.Trip()
-	g.meter.Count("engine crashes")
-	g.blame.SetEntries(g.gossip.NumEntries())
-	added := g.blame.Crashed(runOf(run), prompts)
-	g.logBlocks(added, "itself")
 	g.gossip.Trigger()
-	if len(added) == 0 {
-		g.readBlocksAfterCrash()
+	if hold == nil && len(blocks) == 0 && !isExplained {
+		g.readStoredAfterCrash()
 	}
 }
 
+const (
+	// restartWindow is how long after a connection was closed another run of the upstream shows that it has crashed. A new run
+	// registers within a few seconds.
+	restartWindow = 8 * time.Second
+	// maxBreakages limits the closed connections that are remembered for that.
+	maxBreakages = 64
+)
+
+// keepBreakage remembers a breakage whose upstream accepts connections; the lock must be held.
+func (g *Gate) keepBreakage(b *breakage) {
+	kept := g.breakages[:0]
+	for _, old := range g.breakages {
+		if time.Since(old.at) < restartWindow {
+			kept = append(kept, old)
+		}
+	}
+	clear(g.breakages[len(kept):])
+	g.breakages = append(kept[max(0, len(kept)-maxBreakages+1):], b)
+}
+
+// confirmBreakages records the crashes of upstreams whose runs have been replaced shortly after they closed connections, unless
+// they had stated that they leave. isReplaced reports whether a run has been replaced; the lock must be held.
+func (g *Gate) confirmBreakages(isReplaced func(run *member.Upstream) bool) {
+	kept := g.breakages[:0]
+	for _, b := range g.breakages {
+		switch {
+		case time.Since(b.at) >= restartWindow || g.leaving.Has(runOf(b.run)):
+		case isReplaced(b.run):
+			go g.recordCrash(b)
+		default:
+			kept = append(kept, b)
+		}
+	}
+	clear(g.breakages[len(kept):])
+	g.breakages = kept
+}
+
 // maxLoggedSuspects limits the suspects in a log line.
 const maxLoggedSuspects = 16
 
@@ -107,6 +178,26 @@
 	return strings.Join(names, ",")
 }
 
+// logHolds logs requests that are held from now on.
+func (g *Gate) logHolds(holds []crash.Hold, source string) {
+	for _, h := range holds {
+		g.meter.Count("holds")
+		g.log.Warn("request held", "request", h.Request, "strikes", h.Strikes, "sure", h.Sure, "left", h.Left(), "age", time.Duration(h.Age)*time.Millisecond, "from", source)
+	}
+}
+
+// mergeCrashes adds what another entry knows about requests that were at crashes, and passes on what is new.
+func (g *Gate) mergeCrashes(a *alert.Alert) {
+	if a.Crashes.IsEmpty() {
+		return
+	}
+	added, changed := g.crashes.Merge(a.Crashes)
+	g.logHolds(added, a.Name)
+	if changed {
+		g.gossip.Trigger()
+	}
+}
+
 // logBlocks logs parts of prompts that are blocked from now on.
 func (g *Gate) logBlocks(blocks []blame.Block, source string) {
 	for _, b := range blocks {
--- a/io/gate/election.go
+++ b/io/gate/election.go
@@ -46,9 +46,11 @@
 // election is this entry's part in the election of the leader, which all entries take part in. It holds the lease
 // that allows this entry to write the plans, or tries to acquire it.
 type election struct {
-	gate    *Gate
-	lease   platform.Lease // Not valid if this entry doesn't hold it.
-	written writtenBlocks  // What this entry wrote as the leader.
+	gate  *Gate
+	lease platform.Lease // Not valid if this entry doesn't hold it.
+	// What this entry wrote as the leader.
+	written      writtenBlocks
+	writtenHolds writtenHolds
 
 	mu           sync.Mutex
 	leaseEnd     time.Time // The lease can't expire in the store before this time.
@@ -110,7 +112,7 @@
 		l.gate.log.Info("leadership not gained", "err", err)
 		return
 	}
-	l.lease, l.written = lease, writtenBlocks{}
+	l.lease, l.written, l.writtenHolds = lease, writtenBlocks{}, writtenHolds{}
 	l.mu.Lock()
 	l.leaseEnd, l.plans = began.Add(ttl), make(map[string]*servicePlan)
 	l.mu.Unlock()
@@ -142,6 +144,7 @@
 		}
 		l.updatePlans(ctx)
 		l.writeBlocks(ctx)
+		l.writeHolds(ctx)
 		proc.Sleep(ctx, planInterval)
 	}
 }
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -12,7 +12,7 @@
 	"pimentoseam/core/blame"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/call"
-	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
 	"pimentoseam/core/mean"
 	"pimentoseam/core/member"
 	"pimentoseam/core/outage"
@@ -49,9 +49,11 @@
 	maxStatedRemaining time.Duration // Largest remaining time that callers of the route stated recently; 0 if this one stated none.
 	decodeTime         *mean.Mean    // Mean time from the first event of a stream to its end.
 	priority           int           // 0 is the most urgent.
-	parts              []blame.Part  // The shared parts of the prompt.
-	digest             *crash.Digest // Nil until it is needed; see requestDigest.
+	parts              []blame.Part  // The parts of the prompt.
+	digest             *digest.Sum   // Nil until it is needed; see requestDigest.
 
+	trial        *trial             // Nil unless the request is a suspect that is tried.
+	checked      <-chan struct{}    // Closed when it is known whether the upstream of the last attempt has crashed.
 	sentAt       time.Time          // When the last attempt was sent.
 	sent         bool               // An upstream has received the request; further attempts are retries.
 	prefillSent  bool               // An engine has received a prefill request; further ones are retries.
@@ -73,17 +75,17 @@
 }
 
 // requestDigest returns the digest of the request. It is computed only if needed, since a body can be long.
-func (x *exchange) requestDigest() crash.Digest {
+func (x *exchange) requestDigest() digest.Sum {
 	if x.digest == nil {
 		caller := x.r.RemoteAddr
 		if addr, err := netip.ParseAddrPort(caller); err == nil {
 			caller = addr.Addr().Unmap().String() // The port differs between attempts.
 		}
-		r := &crash.Request{
+		r := &digest.Request{
 			Service: x.service, Caller: caller + " " + x.call.Credentials, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI,
 			Prompt: x.call.Prompt(), Body: x.body,
 		}
-		d := r.Digest()
+		d := r.Sum()
 		x.digest = &d
 	}
 	return *x.digest
@@ -100,7 +102,7 @@
 	maybeRun  result = "maybe run" // The request may have run; the caller has no complete response.
 	abandoned result = "abandoned" // The caller has disconnected or the deadline has passed.
 	refused   result = "refused"   // The caller has got a response that tells it when to retry.
-	blocked   result = "blocked"   // No further attempt is made, because prompts with the same parts crash engines.
+	blocked   result = "blocked"   // No further attempt is made, because prompts with the same parts, or the request, crash upstreams.
 	limited   result = "limited"   // No further attempt is made, because the upstreams are at the limits that they have named.
 	// exhausted means that no further attempt is made, because the retry budget is used up or there is no engine to
 	// decode. An earlier attempt may have run.
@@ -114,18 +116,24 @@
 	x.lastEventID = x.call.LastEventID
 	x.onResponse = func() {}
 	x.budget.RecordRequest()
-	service := x.table.Services[x.service]
-	var outcome result
-	if service != nil && service.Engine != nil {
-		outcome = x.runModel(ctx, service)
-	} else {
-		outcome = x.runPlain(ctx)
+	defer x.endTrial()
+	outcome := blocked
+	if x.mayRun(ctx) {
+		outcome = x.runAt(ctx, x.table.Services[x.service])
 	}
 	if outcome != done && outcome != refused {
 		x.fail(ctx, outcome)
 	}
 }
 
+// runAt serves the request at a service.
+func (x *exchange) runAt(ctx context.Context, service *route.Service) result {
+	if service != nil && service.Engine != nil {
+		return x.runModel(ctx, service)
+	}
+	return x.runPlain(ctx)
+}
+
 // count increments the counters of an outcome: the total and that of the route.
 func (x *exchange) count(outcome string) {
 	x.gate.meter.Count(outcome)
@@ -158,8 +166,8 @@
 		return
 	}
 	retryAfter, why := x.retryAfter(), "no upstream"
-	if left, ok := x.gate.blame.Blocked(x.parts); ok && outcome == blocked {
-		retryAfter, why = left, "its parts crash engines"
+	if outcome == blocked {
+		retryAfter, why = x.blockedFor()
 	} else if outcome == limited {
 		retryAfter, why = spread(x.roomAfter), "upstreams at their limits"
 		x.count("limit refusals")
@@ -167,7 +175,7 @@
 	// "no upstream" covers every other request that did not run: without a usable upstream, after too many rejections, or when
 	// the retry budget or the time was used up.
 	x.count("refused")
-	log.Warn("refused", "why", why, "parts", x.call.PartNames(), "after", retryAfter)
+	log.Warn("refused", "why", why, "request", x.knownDigest(), "parts", x.call.PartNames(), "after", retryAfter)
 	setRetryAfter(x.w, retryAfter)
 	x.w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -262,7 +270,10 @@
 		return u
 	}
 	for ctx.Err() == nil {
-		u := x.gate.pickPlain(x.service, x.tried, x.isFull)
+		u := x.trialUpstream()
+		if u == nil {
+			u = x.gate.pickPlain(x.service, x.tried, x.isFull)
+		}
 		if u == nil || x.holdPermit(ctx, u) {
 			return u
 		}
@@ -290,7 +301,7 @@
 	if x.callerDisconnected() || ctx.Err() != nil {
 		return nil, abandoned
 	}
-	if _, ok := x.gate.blame.Blocked(x.parts); ok {
+	if !x.mayBeSent(ctx) {
 		return nil, blocked
 	}
 	info := u.info.Load()
@@ -325,6 +336,9 @@
 		u.breaker.Success()
 		if reply.Instance != "" && reply.Instance != info.ID {
 			u.replaced.Store(true)
+			x.gate.mu.Lock()
+			x.gate.confirmBreakages(func(run *member.Upstream) bool { return run.SameRun(info) })
+			x.gate.mu.Unlock()
 		} else {
 			u.pause()
 		}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -17,6 +17,7 @@
 	"pimentoseam/core/blame"
 	"pimentoseam/core/budget"
 	"pimentoseam/core/cached"
+	"pimentoseam/core/crash"
 	"pimentoseam/core/leave"
 	"pimentoseam/core/member"
 	"pimentoseam/core/outage"
@@ -59,6 +60,7 @@
 	paces         *pace.Meter
 	cached        *cached.Map
 	blame         *blame.Ledger
+	crashes       *crash.Book
 	meter         *meter.Meter
 	gossip        *gossip.Gossip
 	peerClient    *http.Client
@@ -89,7 +91,8 @@
 	alertPaces     []alert.Pace        // Speeds of engines for the next alert.
 	digestPrefixes []beat.CachedPrefix // Prefixes for the next digest of the zone.
 	newest         peerVersions
-	blocksRead     time.Time            // When the blocks in the store were last read after a crash.
+	storedRead     time.Time            // When the blocks and holds in the store were last read.
+	breakages      []*breakage          // Of upstreams that may have crashed and been back at once.
 	upstreamStates map[string]*upstream // This gate's state for each upstream, by id.
 	budgets        map[string]*budget.Budget
 	outages        map[string]*outage.Outage // By service, from its first refusal without an upstream on.
@@ -122,7 +125,7 @@
 	logHandler := logbuf.New(o.out)
 	g := &Gate{
 		file: o.file, logHandler: logHandler, log: slog.New(logHandler).With("process", settings.Name),
-		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), paces: pace.New(), cached: cached.New(), blame: blame.New(), meter: meter.New(),
+		store: platform.NewStore(settings.Store), pool: client.New(), placer: place.New(), paces: pace.New(), cached: cached.New(), blame: blame.New(), crashes: crash.New(), meter: meter.New(),
 		memberSet: member.New(), leaving: leave.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget), outages: make(map[string]*outage.Outage),
 		storeList: upstreamList{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		started:   time.Now(), newerBeats: make(chan *beat.Beat, 1),
@@ -223,6 +226,11 @@
 func (g *Gate) registerGauges() {
 	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
 	g.meter.Gauge("slowness", g.paces.Median)
+	g.meter.Gauge("suspect requests", func() float64 {
+		suspects, _ := g.crashes.Known()
+		return float64(suspects)
+	})
+	g.meter.Gauge("held requests", func() float64 { return float64(len(g.crashes.Holds())) })
 	g.meter.Gauge("blocked sets", func() float64 { return float64(len(g.blame.Blocks())) })
 	g.meter.Gauge("limits", func() float64 { return float64(g.permits.book.InForce()) })
 	g.meter.Gauge("era", func() float64 { return float64(g.store.Era()) })
--- a/io/gate/members.go
+++ b/io/gate/members.go
@@ -134,6 +134,7 @@
 	if existed && old.SameState(m) {
 		return
 	}
+	g.confirmBreakages(func(run *member.Upstream) bool { return (run.ID == m.ID || run.Addr == m.Addr) && !run.SameRun(m) })
 	if existed && !old.SameRun(m) {
 		delete(g.upstreamStates, id)
 		g.cached.Remove(id)
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -23,9 +23,6 @@
 
 // runModel sends the request to the engines of a service until one generates the complete output.
 func (x *exchange) runModel(ctx context.Context, service *route.Service) result {
-	if _, ok := x.gate.blame.Blocked(x.parts); ok {
-		return blocked
-	}
 	outcome := notRun
 	prefixes := cached.Prefixes(x.call.Model, x.call.Shared())
 	x.gate.prefillWork.Add(uint64(x.gate.paces.Median() * float64(x.gate.placer.PrefillTime(x.call.PromptTokens, x.unsharedTokens()).Milliseconds())))
@@ -193,7 +190,7 @@
 }
 
 // candidates returns the engines that may get the request, and their upstreams by id. Engines that are changing
-// roles, leave or have just rejected a request are included only if includeUnavailable is set.
+// roles, leave, try a suspect or have just rejected a request are included only if includeUnavailable is set.
 func (x *exchange) candidates(service *route.Service, cachedTokens, pendingTokens map[string]int, includeUnavailable bool) ([]*place.Engine, map[string]*upstream) {
 	peers, drainTime := x.gate.peerState(), x.gate.settings().DrainTime.Duration()
 	byID := make(map[string]*upstream)
@@ -202,7 +199,7 @@
 		if !u.isUsable() || x.tried[u] || x.isFull(u) || (u.isLeaving() && !u.isLastResort(drainTime)) {
 			continue
 		}
-		if !includeUnavailable && (u.isLeaving() || u.isPaused() || peers.changingRole[u.key]) {
+		if !includeUnavailable && (u.isLeaving() || u.isPaused() || peers.changingRole[u.key] || x.gate.crashes.TrialAt(runOf(u.info.Load()))) {
 			continue
 		}
 		info := u.info.Load()
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -75,7 +75,7 @@
 }
 
 // registerAndDiscover writes this entry's key under a new lease, adds the other entries in the store to the gossip and reads
-// the blocked parts of prompts.
+// the blocked parts of prompts and the requests that are held.
 func (g *Gate) registerAndDiscover(ctx context.Context, value []byte) (platform.Lease, error) {
 	lease, _, err := g.store.Grant(ctx, entryTTL)
 	if err != nil {
@@ -88,7 +88,7 @@
 	if err := g.discover(ctx, false); err != nil {
 		return platform.Lease{}, err
 	}
-	if _, err := g.readBlocks(ctx); err != nil {
+	if err := g.readStored(ctx); err != nil {
 		return platform.Lease{}, err
 	}
 	return lease, nil
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -51,7 +51,7 @@
 	switch {
 	case err == nil:
 		u.breaker.Success()
-		return x.writeResponse(resp, buffered)
+		return x.writeResponse(u, resp, buffered)
 	case ctx.Err() != nil:
 		u.breaker.Cancel()
 		return abandoned
@@ -99,13 +99,16 @@
 }
 
 // writeResponse sends a response to the caller; buffered holds the part of the body that has been read already.
-func (x *exchange) writeResponse(resp *client.Response, buffered []byte) result {
+func (x *exchange) writeResponse(u *upstream, resp *client.Response, buffered []byte) result {
 	x.writeHeader(resp)
 	if _, err := x.w.Write(buffered); err != nil {
 		return abandoned
 	}
 	if len(buffered) == responseBufferSize {
 		if _, err := io.Copy(x.w, resp); err != nil {
+			if resp.Failed() {
+				x.accuse(u, u.info.Load(), true, 0)
+			}
 			return maybeRun
 		}
 	}
@@ -134,6 +137,7 @@
 func (x *exchange) recordAnswered(resp *client.Response) {
 	x.count("answered")
 	x.outage.End()
+	x.recordSound(resp.StatusCode)
 	x.gate.meter.Latency("first "+x.route.Name, x.timeToHead)
 	x.gate.meter.Latency("whole "+x.route.Name, time.Since(x.arrived))
 	x.gate.log.Info("answered", "id", x.call.ID, "route", x.route.Name, "upstream", x.lastUpstream, "config", x.table.Version,
--- a/io/gate/reply.go
+++ b/io/gate/reply.go
@@ -82,8 +82,13 @@
 	return wait, isDown
 }
 
-// Alert returns what this entry knows that a beat doesn't state.
-func (g gossipSource) Alert() *alert.Alert {
+// Alerts returns what this entry knows that a beat doesn't state.
+func (g gossipSource) Alerts() []*alert.Alert {
+	return []*alert.Alert{g.alert(), {Name: g.settings().Name, Crashes: g.crashes.Report()}}
+}
+
+// alert returns the alert with all but the requests that were at crashes.
+func (g gossipSource) alert() *alert.Alert {
 	settings := g.settings()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -100,6 +105,7 @@
 func (g gossipSource) HandleAlert(from netip.AddrPort, a *alert.Alert) {
 	g.recordLeaving(a.Leaving, a.Name)
 	g.mergeBlame(a)
+	g.mergeCrashes(a)
 	g.mergeLimits(a)
 	g.permits.handleAsks(from, a.Asks)
 	g.permits.handleAnswers(a.Answers)
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -64,7 +64,7 @@
 	x := &exchange{
 		gate: g, w: w, r: r, call: c, route: rt, table: table, service: service,
 		budget: g.budget(service), outage: g.outage(service), arrived: arrived, deadline: arrived.Add(requestTimeout(c, rt.Timeout)),
-		parts: blame.Parts(c.Shared()), tried: make(map[*upstream]bool), permits: make(map[*upstream]bool), full: make(map[*upstream]bool), decodeTime: config.decodeTimes[service], priority: rt.Priority,
+		parts: blame.Parts(c.Parts), tried: make(map[*upstream]bool), permits: make(map[*upstream]bool), full: make(map[*upstream]bool), decodeTime: config.decodeTimes[service], priority: rt.Priority,
 	}
 	if c.Remaining > 0 {
 		x.maxStatedRemaining = config.maxStatedRemaining[rt.Name].Add(c.Remaining)
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -25,8 +25,7 @@
 	refusingUntil  atomic.Int64                     // Process uptime until which it has asked to get nothing.
 	leavingSince   atomic.Int64                     // Process uptime since which it is known to leave; 0 if it doesn't.
 	lastReceived   atomic.Int64                     // Process uptime at which it last sent any bytes.
-	suspects       []suspect                        // Requests whose connections it has closed; guarded by Gate.mu.
-	isChecked      bool                             // A check whether it has crashed is in progress; guarded by Gate.mu.
+	breakage       *breakage                        // While it is checked whether it has crashed; guarded by Gate.mu.
 	running        atomic.Int64                     // Number of requests in progress.
 	prefillBacklog [beat.NumPriorities]atomic.Int64 // Processing time of prompts without a first token, in nanoseconds.
 	decoding       [beat.NumPriorities]atomic.Int64 // Number of requests that generate output.
@@ -172,19 +171,25 @@
 
 // pickPlain chooses, among the upstreams of a plain service (a service without engines) that are untried and not full, the
 // one with the fewest requests in progress; at equal load it prefers the gate's own availability zone. One with a limit is
-// chosen only if the others have no free slot. It returns nil if there is none.
+// chosen only if the others have no free slot, and one at which a suspect is tried only without others. It returns nil if
+// there is none.
 func (g *Gate) pickPlain(service string, tried map[*upstream]bool, isFull func(*upstream) bool) *upstream {
-	var usable, lastResort []*upstream
+	var usable, trying, lastResort []*upstream
 	drainTime := g.settings().DrainTime.Duration()
 	for _, u := range g.snapshot.Load().services[service] {
 		switch {
 		case !u.isUsable() || tried[u] || isFull(u):
+		case !u.isLeaving() && g.crashes.TrialAt(runOf(u.info.Load())):
+			trying = append(trying, u)
 		case !u.isLeaving():
 			usable = append(usable, u)
 		case u.isLastResort(drainTime):
 			lastResort = append(lastResort, u)
 		}
 	}
+	if len(usable) == 0 {
+		usable = trying
+	}
 	if len(usable) == 0 {
 		usable = lastResort
 	}
--- a/io/gossip/alert.go
+++ b/io/gossip/alert.go
@@ -6,13 +6,17 @@
 	"pimentoseam/core/alert"
 )
 
-// sendAlert sends this entry's alert, unless it is empty, to the live peers and, if this entry sends digests, to one
+// sendAlerts sends this entry's alerts, unless they are empty, to the live peers and, if this entry sends digests, to one
 // entry of each other zone.
-func (g *Gossip) sendAlert() {
-	a := g.delegate.Alert()
-	if a.IsEmpty() {
-		return
+func (g *Gossip) sendAlerts() {
+	for _, a := range g.delegate.Alerts() {
+		if !a.IsEmpty() {
+			g.sendAlert(a)
+		}
 	}
+}
+
+func (g *Gossip) sendAlert(a *alert.Alert) {
 	var targets []netip.AddrPort
 	for _, p := range g.Peers() {
 		if p.Alive() {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -77,8 +77,8 @@
 	Digest() *beat.Beat
 	// HandleBeat is called with each received beat or digest that supersedes the previous one.
 	HandleBeat(*beat.Beat)
-	// Alert returns what the entry knows that a beat doesn't state.
-	Alert() *alert.Alert
+	// Alerts returns what the entry knows that a beat doesn't state, as one or more messages that fit into a datagram each.
+	Alerts() []*alert.Alert
 	// HandleAlert is called with each received alert and the address of its sender.
 	HandleAlert(from netip.AddrPort, a *alert.Alert)
 }
@@ -283,7 +283,7 @@
 			nextDigest = now.Add(proc.Jitter(interval) * 2 / 3) // 2/3 to 4/3 of the mean interval.
 		}
 		if now := time.Now(); triggered || !now.Before(nextAlert) {
-			g.sendAlert()
+			g.sendAlerts()
 			nextAlert = now.Add(proc.Jitter(2*alertInterval) * 2 / 3) // 2/3 to 4/3 of the mean interval.
 		}
 		timer.Reset(max(0, min(time.Until(nextBeat), time.Until(nextDigest), time.Until(nextAlert))))
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -118,7 +118,9 @@
 
 // HasPart returns a function that matches prompts with a part.
 func HasPart(part string) func(req *http.Request, body string) bool {
-	return func(req *http.Request, _ string) bool { return strings.Contains(req.Header.Get("X-Prompt-Prefix"), part) }
+	return func(req *http.Request, _ string) bool {
+		return strings.Contains(req.Header.Get("X-Prompt-Prefix"), part)
+	}
 }
 
 // crashUnder returns the crash that a request causes, nil for none. A request whose prompt is only read causes none.
