--- a/core/crash/book.go
+++ b/core/crash/book.go
@@ -49,7 +49,8 @@
 
 // Book holds what is known of requests that were at crashes. It is safe for concurrent use.
 type Book struct {
-	isActive atomic.Bool // Any request was at a crash since its last answer.
+	isActive  atomic.Bool // Any request was at a crash since its last answer.
+	hasTrials atomic.Bool // A trial is known, in progress or not.
 
 	mu      sync.Mutex
 	crashes map[leave.Run]*event
@@ -143,6 +144,7 @@
 	}
 	id := rand.Uint64()
 	b.trials[id] = &trial{request: d, run: run, isOwn: true, renewed: time.Now()}
+	b.hasTrials.Store(true)
 	return id, true
 }
 
@@ -180,6 +182,9 @@
 
 // TrialAt reports whether a request is tried at a run of an upstream, where other requests should not go.
 func (b *Book) TrialAt(run leave.Run) bool {
+	if !b.hasTrials.Load() {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, t := range b.trials {
@@ -375,6 +380,7 @@
 	maps.DeleteFunc(b.answers, func(_ digest.Sum, a *answer) bool { return time.Since(a.at) >= evidenceTTL })
 	maps.DeleteFunc(b.holds, func(_ digest.Sum, h *hold) bool { return time.Since(h.last) >= holdTTL })
 	maps.DeleteFunc(b.trials, func(_ uint64, t *trial) bool { return !t.isLive() && time.Since(t.renewed) >= trialLease })
+	b.hasTrials.Store(len(b.trials) > 0)
 	b.update()
 }
 
--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -199,6 +199,7 @@
 	switch {
 	case known == nil && len(b.trials) < maxTrials:
 		b.trials[t.ID] = &trial{request: t.Request, run: t.Run, renewed: renewed, hasEnded: t.Ended}
+		b.hasTrials.Store(true)
 		return !t.Ended
 	case known == nil || known.isOwn:
 		return false // This entry knows better of its own ones.
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -199,7 +199,7 @@
 		if !u.isUsable() || x.tried[u] || x.isFull(u) || (u.isLeaving() && !u.isLastResort(drainTime)) {
 			continue
 		}
-		if !includeUnavailable && (u.isLeaving() || u.isPaused() || peers.changingRole[u.key] || x.gate.crashes.TrialAt(runOf(u.info.Load()))) {
+		if !includeUnavailable && (u.isLeaving() || u.isPaused() || peers.changingRole[u.key] || x.gate.crashes.TrialAt(u.run())) {
 			continue
 		}
 		info := u.info.Load()
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -9,6 +9,7 @@
 
 	"pimentoseam/core/beat"
 	"pimentoseam/core/health"
+	"pimentoseam/core/leave"
 	"pimentoseam/core/member"
 	"pimentoseam/core/place"
 	"pimentoseam/io/proc"
@@ -91,6 +92,11 @@
 // backlogUnit is the unit of the prefill backlog in beats.
 const backlogUnit = 100 * time.Microsecond
 
+// run returns the present run of the upstream.
+func (u *upstream) run() leave.Run {
+	return leave.Run{Key: u.key, Started: u.info.Load().Started}
+}
+
 // isUsable reports whether the upstream may get requests now, apart from its leaving.
 func (u *upstream) isUsable() bool {
 	return !u.replaced.Load() && !u.breaker.IsOpen() && u.refusingFor() <= 0
@@ -179,7 +185,7 @@
 	for _, u := range g.snapshot.Load().services[service] {
 		switch {
 		case !u.isUsable() || tried[u] || isFull(u):
-		case !u.isLeaving() && g.crashes.TrialAt(runOf(u.info.Load())):
+		case !u.isLeaving() && g.crashes.TrialAt(u.run()):
 			trying = append(trying, u)
 		case !u.isLeaving():
 			usable = append(usable, u)
