digest: the address of a caller and what varies between attempts don't make another request

On this platform no header names a caller, and some headers and queries come and go.

Change: the address is out, since no upstream gets it. A request has two digests: one of all it passes on but ids, times and traces, and one without the query and the headers that name no caller. Crashes count for both; a trial is of the first one that is suspect, so that requests with other queries are held only if the first differs each time. A digest counts once a crash, however many copies were there.

Cases with other queries at the same path hold.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -14,7 +14,6 @@
 	MaxOutputTokens int           // Maximum number of output tokens.
 	Parts           []Part        // Parts of the prompt in order; only this request uses the last one.
 	LastEventID     string        // Last stream event that the caller received; empty for none.
-	Credentials     string        // What the request states of who calls; empty for nothing.
 }
 
 // Part is a piece of a prompt that other requests may share.
--- a/core/crash/book.go
+++ b/core/crash/book.go
@@ -105,17 +105,29 @@
 	return b.isActive.Load()
 }
 
-// Check returns what may be done with a request, and if it is held for how much longer.
-func (b *Book) Check(d digest.Sum) (State, time.Duration) {
+// Check returns what may be done with a request, given its digests, the one that fewest requests share first. If it is held, it
+// returns for how much longer.
+func (b *Book) Check(digests ...digest.Sum) (State, time.Duration) {
 	if !b.IsActive() {
 		return Free, 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.check(d)
+	strictest, left := Free, time.Duration(0)
+	for _, d := range digests {
+		state, l := b.check(d)
+		if strictness[state] > strictness[strictest] {
+			strictest = state
+		}
+		left = max(left, l)
+	}
+	return strictest, left
 }
 
-// check is Check; the lock must be held.
+// strictness orders the states.
+var strictness = map[State]int{Free: 0, Suspect: 1, Trying: 2, Held: 3}
+
+// check returns what one digest of a request allows; the lock must be held.
 func (b *Book) check(d digest.Sum) (State, time.Duration) {
 	h := b.holds[d]
 	if h == nil && b.counts[d] < suspectCrashes {
@@ -134,18 +146,30 @@
 	return Suspect, 0
 }
 
-// Begin announces a trial of a suspect at a run of an upstream, zero if that isn't known yet, and returns its id; it returns
-// false if the request is no suspect or is being tried.
-func (b *Book) Begin(d digest.Sum, run leave.Run) (uint64, bool) {
+// Begin announces a trial of a suspect at a run of an upstream, zero if that isn't known yet. It returns the id of the trial and
+// the first of the request's digests that is suspect, which the trial is of; and false if none is or the request is being tried.
+func (b *Book) Begin(run leave.Run, digests ...digest.Sum) (uint64, digest.Sum, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if state, _ := b.check(d); state != Suspect || len(b.trials) >= maxTrials {
-		return 0, false
+	var suspect *digest.Sum
+	for _, d := range digests {
+		switch state, _ := b.check(d); state {
+		case Suspect:
+			if suspect == nil {
+				suspect = &d
+			}
+		case Trying, Held:
+			return 0, digest.Sum{}, false
+		case Free:
+		}
+	}
+	if suspect == nil || len(b.trials) >= maxTrials {
+		return 0, digest.Sum{}, false
 	}
 	id := rand.Uint64()
-	b.trials[id] = &trial{request: d, run: run, isOwn: true, renewed: time.Now()}
+	b.trials[id] = &trial{request: *suspect, run: run, isOwn: true, renewed: time.Now()}
 	b.hasTrials.Store(true)
-	return id, true
+	return id, *suspect, true
 }
 
 // Confirm reports whether a trial may be made: no other one of the request has precedence, and none has failed meanwhile.
@@ -195,22 +219,27 @@
 	return false
 }
 
-// Answered records that an upstream of a service has answered a request; it calls request only if any request is known. It
-// reports whether the request was suspect and is clear now.
-func (b *Book) Answered(service uint32, request func() digest.Sum) bool {
+// Answered records that an upstream of a service has answered a request; it asks for the digests only if any request is known.
+// It reports whether the request was at a crash and is clear now.
+func (b *Book) Answered(service uint32, digests func() []digest.Sum) bool {
 	if !b.IsActive() {
 		return false
 	}
-	d := request()
+	list := digests()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.serve(service, time.Now())
-	if b.counts[d] == 0 && b.holds[d] == nil {
-		return false
+	wasKnown := false
+	for _, d := range list {
+		if b.counts[d] > 0 || b.holds[d] != nil {
+			b.answer(d, time.Now())
+			wasKnown = true
+		}
 	}
-	b.answer(d, time.Now())
-	b.update()
-	return true
+	if wasKnown {
+		b.update()
+	}
+	return wasKnown
 }
 
 // Lift clears a request at an operator's wish and reports whether it was known.
@@ -225,8 +254,8 @@
 	return true
 }
 
-// Crashed records that a run of an upstream has crashed under some requests of this entry. tried is the one of them that was
-// tried there, nil for none. It returns the hold that follows, nil for none.
+// Crashed records that a run of an upstream has crashed under some requests of this entry, given the digests of all of them.
+// tried is the digest that a trial there was of, nil for none. It returns the hold that follows, nil for none.
 func (b *Book) Crashed(run leave.Run, service uint32, requests []digest.Sum, tried *digest.Sum) *Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -236,7 +265,15 @@
 		if d, ok := b.triedAt(run); ok {
 			b.addCrash(run, &event{at: time.Now(), service: service, suspects: []digest.Sum{d}, isTrial: true})
 		} else {
-			b.addCrash(run, &event{at: time.Now(), service: service, suspects: slices.Clone(requests)})
+			var suspects []digest.Sum // Each one once.
+			for _, d := range requests {
+				if !slices.Contains(suspects, d) {
+					suspects = append(suspects, d)
+				}
+			}
+			// Those that were at crashes before come first, in case there are too many.
+			slices.SortStableFunc(suspects, func(a, o digest.Sum) int { return cmp.Compare(b.counts[o], b.counts[a]) })
+			b.addCrash(run, &event{at: time.Now(), service: service, suspects: suspects})
 		}
 		b.update()
 		return nil
--- a/core/crash/book_test.go
+++ b/core/crash/book_test.go
@@ -22,7 +22,7 @@
 var bad, popular = request("bad"), request("popular")
 
 func request(target string) digest.Sum {
-	return (&digest.Request{Target: target}).Sum()
+	return (&digest.Request{Path: target}).Exact()
 }
 
 // runs numbers the runs of upstreams.
@@ -36,7 +36,7 @@
 // try makes a trial of a request that crashes its upstream, and fails the test unless the book allows it.
 func try(t *testing.T, b *crash.Book, d digest.Sum, r leave.Run) *crash.Hold {
 	t.Helper()
-	id, ok := b.Begin(d, r)
+	id, _, ok := b.Begin(r, d)
 	if !ok || !b.Confirm(id) {
 		state, left := b.Check(d)
 		t.Fatalf("no trial of a request that is %v for %v", state, left)
@@ -59,14 +59,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b, n := crash.New(), runs(0)
 		other := request("other")
-		b.Crashed(n.next(), app, []digest.Sum{bad, other}, nil)
+		b.Crashed(n.next(), app, []digest.Sum{bad, other, bad}, nil)
 		state(t, b, bad, crash.Free)
 		time.Sleep(time.Second)
 		b.Crashed(n.next(), app, []digest.Sum{bad}, nil)
 		state(t, b, other, crash.Free)
 		for _, want := range []time.Duration{2 * time.Second, 10 * time.Minute, time.Hour, time.Hour} {
 			state(t, b, bad, crash.Suspect)
-			b.Answered(app, func() digest.Sum { return other })
+			b.Answered(app, func() []digest.Sum { return []digest.Sum{other} })
 			time.Sleep(time.Second)
 			try(t, b, bad, n.next())
 			if got, left := b.Check(bad); got != crash.Held || left != want {
@@ -92,7 +92,7 @@
 			share()
 		}
 		state(t, peer, popular, crash.Suspect)
-		if !peer.Answered(app, func() digest.Sum { return popular }) {
+		if !peer.Answered(app, func() []digest.Sum { return []digest.Sum{popular} }) {
 			t.Error("an answer to a suspect made no difference")
 		}
 		share()
@@ -125,7 +125,7 @@
 		try(t, b, popular, n.next())
 		isolated.Merge(b.Report())
 		time.Sleep(2 * time.Second)
-		b.Answered(app, func() digest.Sum { return popular })
+		b.Answered(app, func() []digest.Sum { return []digest.Sum{popular} })
 		time.Sleep(30 * time.Second)
 		b.Merge(isolated.Report())
 		state(t, b, popular, crash.Free)
@@ -145,8 +145,8 @@
 			}
 			peer.Merge(b.Report())
 			run, peerRun := n.next(), n.next()
-			id, ok := b.Begin(bad, run)
-			peerID, peerOK := peer.Begin(bad, peerRun)
+			id, _, ok := b.Begin(run, bad)
+			peerID, _, peerOK := peer.Begin(peerRun, bad)
 			if !ok || !peerOK {
 				t.Fatal("trials of a suspect weren't allowed")
 			}
@@ -186,7 +186,7 @@
 		for range 2 {
 			b.Crashed(n.next(), app, []digest.Sum{bad}, nil)
 		}
-		b.Begin(bad, n.next())
+		b.Begin(n.next(), bad)
 		peer.Merge(b.Report())
 		state(t, peer, bad, crash.Trying)
 		time.Sleep(4 * time.Second)
@@ -232,11 +232,11 @@
 						b.Crashed(n.next(), app, []digest.Sum{popular, request(fmt.Sprint(random.Uint64()))}, nil)
 					}
 				}
-				id, ok := b.Begin(popular, n.next())
+				id, _, ok := b.Begin(n.next(), popular)
 				if ok && !b.Confirm(id) {
 					t.Error("a trial without others wasn't allowed")
 				}
-				b.Answered(app, func() digest.Sum { return popular })
+				b.Answered(app, func() []digest.Sum { return []digest.Sum{popular} })
 				b.End(id)
 			}
 			if holds := b.Holds(); len(holds) > 0 {
@@ -253,7 +253,7 @@
 		second, beside := request("second"), request("beside")
 		for step := range 60 {
 			time.Sleep(200 * time.Millisecond)
-			b.Answered(app, func() digest.Sum { return request(fmt.Sprint(step)) })
+			b.Answered(app, func() []digest.Sum { return []digest.Sum{request(fmt.Sprint(step))} })
 			d := []digest.Sum{bad, second}[step%2]
 			switch got, _ := b.Check(d); got {
 			case crash.Free:
@@ -262,7 +262,7 @@
 				try(t, b, d, n.next())
 			}
 			if got, _ := b.Check(beside); got == crash.Suspect {
-				b.Answered(app, func() digest.Sum { return beside })
+				b.Answered(app, func() []digest.Sum { return []digest.Sum{beside} })
 			}
 		}
 		state(t, b, bad, crash.Held)
@@ -274,6 +274,44 @@
 	})
 }
 
+// TestLevels checks that a trial strikes the digest that fewest requests share, so that requests with other queries are served
+// at once, and the wider one only if the other differs each time.
+func TestLevels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, n := crash.New(), runs(0)
+		path, query, other := request("path"), request("path?q=1"), request("path?q=2")
+		for range 2 {
+			b.Crashed(n.next(), app, []digest.Sum{query, path}, nil)
+			time.Sleep(time.Second)
+		}
+		for range 2 {
+			id, struck, ok := b.Begin(n.next(), query, path)
+			if !ok || struck != query || !b.Confirm(id) {
+				t.Fatalf("got a trial %v of %v, want one of the query", ok, struck)
+			}
+			b.Crashed(n.next(), app, []digest.Sum{query, path}, &struck)
+			b.End(id)
+			if got, _ := b.Check(other, path); got != crash.Suspect {
+				t.Errorf("the same path with another query is %v, want %v", got, crash.Suspect)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		b.Answered(app, func() []digest.Sum { return []digest.Sum{other, path} })
+		state(t, b, path, crash.Free)
+		if got, _ := b.Check(query, path); got != crash.Held {
+			t.Errorf("the request at fault is %v, want %v", got, crash.Held)
+		}
+		varied := request("varied")
+		for i := range 2 {
+			b.Crashed(n.next(), app, []digest.Sum{request(fmt.Sprint("varied", i)), varied}, nil)
+		}
+		_, struck, ok := b.Begin(n.next(), request("varied again"), varied)
+		if !ok || struck != varied {
+			t.Errorf("got a trial %v of %v, want one of what all have in common", ok, struck)
+		}
+	})
+}
+
 // TestBounded adds far more than the book keeps and reports, as somebody who sends ever new requests at fault would. The one that
 // is held longest stays.
 func TestBounded(t *testing.T) {
@@ -334,7 +372,7 @@
 			b.Crashed(n.next(), app, []digest.Sum{bad}, nil)
 			time.Sleep(time.Millisecond)
 		}
-		b.Answered(app, func() digest.Sum { return popular })
+		b.Answered(app, func() []digest.Sum { return []digest.Sum{popular} })
 		try(t, b, bad, n.next())
 		time.Sleep(time.Second)
 		r := b.Report()
@@ -343,7 +381,7 @@
 		}
 		r.Crashes = r.Crashes[:1]
 		data, err := cbor.Marshal(r)
-		const golden = "a40181a501820301021903e80307048150873cb402cbbf0cc46fc44462c2dc3ff005f50381a40150873cb402cbbf0cc46fc44462c2dc3ff002010301041903e80481a50150873cb402cbbf0cc46fc44462c2dc3ff0020103820301041903e805f50581a20107021903e8"
+		const golden = "a40181a501820301021903e8030704815020f13bc0510c1615eaeb00fb9e1de0d505f50381a4015020f13bc0510c1615eaeb00fb9e1de0d502010301041903e80481a5015020f13bc0510c1615eaeb00fb9e1de0d5020103820301041903e805f50581a20107021903e8"
 		if got := hex.EncodeToString(data); err != nil || got != golden {
 			t.Errorf("got %s, %v, want %s", got, err, golden)
 		}
@@ -404,7 +442,7 @@
 	s.mu.Unlock()
 	var tried *digest.Sum
 	if state == crash.Suspect {
-		id, ok := b.Begin(bad, run)
+		id, _, ok := b.Begin(run, bad)
 		if !ok {
 			return
 		}
--- a/core/digest/sum.go
+++ b/core/digest/sum.go
@@ -43,20 +43,31 @@
 	return nil
 }
 
-// Request holds all that makes two requests the same. What differs between attempts, such as ids, times and the entry, isn't
-// part of it.
+// Request holds what tells requests apart. What differs between attempts, such as ids, times and the entry, isn't part of it, nor
+// is the caller's address: no upstream sees it, and callers have several.
 type Request struct {
-	Service string // The service that runs it; another one may take what this one can't.
-	Caller  string // Names the caller.
-	Method  string
-	Host    string
-	Target  string // Path and query.
-	Prompt  string // The model and the parts of the prompt; empty without one.
-	Body    []byte
+	Service     string // The service that runs it; another one may take what this one can't.
+	Method      string
+	Host        string
+	Path        string
+	Query       string
+	Prompt      string // The model and the parts of the prompt; empty without one.
+	Credentials string // States who calls.
+	Others      string // The other headers that are passed on.
+	Body        []byte
 }
 
-// Sum returns the digest of the request.
-func (r *Request) Sum() Sum {
+// Exact returns the digest of all fields.
+func (r *Request) Exact() Sum {
+	return r.sum(r.Query, r.Others)
+}
+
+// Similar returns the digest without the query and the other headers, which some callers change from attempt to attempt.
+func (r *Request) Similar() Sum {
+	return r.sum("", "")
+}
+
+func (r *Request) sum(query, others string) Sum {
 	h := sha256.New()
 	var size [8]byte
 	add := func(field []byte) {
@@ -65,7 +76,7 @@
 		h.Write(size[:])
 		h.Write(field)
 	}
-	for _, field := range []string{r.Service, r.Caller, r.Method, r.Host, r.Target, r.Prompt} {
+	for _, field := range []string{r.Service, r.Method, r.Host, r.Path, query, r.Prompt, r.Credentials, others} {
 		add([]byte(field))
 	}
 	add(r.Body)
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -28,8 +28,8 @@
 
 // suspect is a request that was at an upstream when that closed its connection.
 type suspect struct {
-	digest  digest.Sum
-	isTrial bool
+	digests []digest.Sum
+	tried   *digest.Sum   // The digest that a trial is of; nil for other requests.
 	prompt  blame.Suspect // Without parts if it isn't suspect as a prompt.
 }
 
@@ -47,7 +47,10 @@
 	if u.isLeaving() {
 		return
 	}
-	s := suspect{digest: x.requestDigest(), isTrial: x.trial != nil}
+	s := suspect{digests: x.identity()}
+	if x.trial != nil {
+		s.tried = &x.trial.of
+	}
 	if events == 0 || time.Since(x.sentAt) <= maxOnset {
 		s.prompt = blame.Suspect{Begun: begun && events == 0, Parts: x.parts}
 	}
@@ -100,9 +103,9 @@
 	var tried *digest.Sum
 	var prompts []blame.Suspect
 	for _, s := range b.suspects {
-		requests = append(requests, s.digest)
-		if s.isTrial {
-			tried = &s.digest
+		requests = append(requests, s.digests...)
+		if s.tried != nil {
+			tried = s.tried
 		}
 		if len(s.prompt.Parts) > 0 {
 			prompts = append(prompts, s.prompt)
@@ -173,7 +176,7 @@
 func digestNames(suspects []suspect) string {
 	var names []string
 	for _, s := range suspects[:min(len(suspects), maxLoggedSuspects)] {
-		names = append(names, s.digest.String())
+		names = append(names, s.digests[0].String())
 	}
 	return strings.Join(names, ",")
 }
--- a/io/gate/crashrequest_test.go
+++ b/io/gate/crashrequest_test.go
@@ -225,7 +225,7 @@
 // plainCrash matches a request with a body at a path.
 func plainCrash(path, body string, stage simop.CrashStage) simop.Crash {
 	return simop.Crash{Stage: stage, Matches: func(req *http.Request, got string) bool {
-		return req.URL.Path == path && got == body && req.Header.Get("Authorization") == ""
+		return req.URL.Path == path && req.URL.RawQuery == "" && got == body && req.Header.Get("Authorization") == ""
 	}}
 }
 
@@ -244,6 +244,7 @@
 		path   string
 		body   string
 		prompt []string // The parts of the prompt at fault.
+		varied bool     // Each attempt comes from another address and has other headers.
 	}{
 		{name: "safe", gates: 3, site: &crashSite{stages: plain(8), back: 3 * time.Second}, method: "GET", path: "/plain/bad"},
 		{name: "unsafe with a body", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second}, method: "POST", path: "/once/bad", body: body},
@@ -253,6 +254,7 @@
 		{name: "back at once under the same id", gates: 3, site: &crashSite{stages: plain(4), back: 50 * time.Millisecond, keepID: true}, method: "POST", path: "/plain/bad", body: body},
 		{name: "after the head", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second, crash: simop.Crash{Stage: simop.AfterHead}}, method: "POST", path: "/plain/bad", body: body},
 		{name: "inside the body", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second, crash: simop.Crash{Stage: simop.InsideBody}}, method: "POST", path: "/once/bad", body: body},
+		{name: "other addresses and headers each time", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second}, method: "POST", path: "/plain/bad", body: body, varied: true},
 		{name: "long body", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second}, method: "POST", path: "/plain/bad", body: strings.Repeat("x", 60<<10)},
 		{name: "last part of a prompt", gates: 3, site: &crashSite{service: "lm", stages: []string{"prefill", "decode", "decode", "decode", "decode"}, back: 2 * time.Second, crash: simop.Crash{Stage: simop.AfterHead}}, method: "POST", path: "/fixed/x", prompt: []string{"aa", "last0"}},
 		{name: "last part, in the stream", gates: 3, site: &crashSite{service: "lm", stages: []string{"prefill", "decode", "decode", "decode", "decode"}, back: 2 * time.Second, crash: simop.Crash{Stage: simop.InsideBody}}, method: "POST", path: "/model/x", prompt: []string{"aa", "last0"}},
@@ -280,8 +282,16 @@
 			stop := make(chan struct{})
 			var wait sync.WaitGroup
 			var measuring atomic.Bool
-			var ignored, bodies, paths, callers, polled tally
-			repeat(t, gates, 200*time.Millisecond, stop, &wait, func() *callerRequest { return bad }, &measuring, &ignored)
+			var ignored, bodies, paths, callers, queries, polled tally
+			repeat(t, gates, 200*time.Millisecond, stop, &wait, func() *callerRequest {
+				if !test.varied {
+					return bad
+				}
+				other := *bad
+				other.from = fmt.Sprintf("127.0.0.%d", 2+rand.N(50))
+				other.headers = []string{"X-Trace", fmt.Sprint(rand.Uint64())}
+				return &other
+			}, &measuring, &ignored)
 			if test.prompt == nil {
 				repeat(t, gates, 60*time.Millisecond, stop, &wait, func() *callerRequest {
 					return &callerRequest{method: "POST", path: test.path, body: fmt.Sprint("other ", rand.Uint64())}
@@ -292,6 +302,11 @@
 				repeat(t, gates, 60*time.Millisecond, stop, &wait, func() *callerRequest {
 					return &callerRequest{method: test.method, path: test.path, body: test.body, headers: []string{"Authorization", "Bearer other"}}
 				}, &measuring, &callers)
+				if !test.varied {
+					repeat(t, gates, 60*time.Millisecond, stop, &wait, func() *callerRequest {
+						return &callerRequest{method: test.method, path: fmt.Sprintf("%s?page=%d", test.path, rand.N(40)), body: test.body}
+					}, &measuring, &queries)
+				}
 				repeat(t, gates, 40*time.Millisecond, stop, &wait, func() *callerRequest {
 					return &callerRequest{method: "GET", path: "/plain/status"}
 				}, &measuring, &polled)
@@ -313,7 +328,7 @@
 			if n := site.late(); n > allowedAfter {
 				t.Errorf("the request reached upstreams %d times later than %v after the third crash, want %d at most", n, contactTime, allowedAfter)
 			}
-			for name, c := range map[string]*tally{"other bodies": &bodies, "other paths": &paths, "another caller": &callers, "polled": &polled} {
+			for name, c := range map[string]*tally{"other bodies": &bodies, "other paths": &paths, "another caller": &callers, "other queries": &queries, "polled": &polled} {
 				sent, served := c.sent.Load(), c.served.Load()
 				t.Logf("%s: %d of %d served", name, served, sent)
 				if 10*served < 9*sent {
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -50,7 +49,7 @@
 	decodeTime         *mean.Mean    // Mean time from the first event of a stream to its end.
 	priority           int           // 0 is the most urgent.
 	parts              []blame.Part  // The parts of the prompt.
-	digest             *digest.Sum   // Nil until it is needed; see requestDigest.
+	digests            []digest.Sum  // Nil until they are needed; see identity.
 
 	trial        *trial             // Nil unless the request is a suspect that is tried.
 	checked      <-chan struct{}    // Closed when it is known whether the upstream of the last attempt has crashed.
@@ -74,21 +73,18 @@
 	events       int                // Number of events that were sent to the caller.
 }
 
-// requestDigest returns the digest of the request. It is computed only if needed, since a body can be long.
-func (x *exchange) requestDigest() digest.Sum {
-	if x.digest == nil {
-		caller := x.r.RemoteAddr
-		if addr, err := netip.ParseAddrPort(caller); err == nil {
-			caller = addr.Addr().Unmap().String() // The port differs between attempts.
-		}
+// identity returns the digests of the request, the one that fewest requests share first. They are computed only if needed, since
+// a body can be long.
+func (x *exchange) identity() []digest.Sum {
+	if x.digests == nil {
+		credentials, others := platform.Identity(x.r.Header)
 		r := &digest.Request{
-			Service: x.service, Caller: caller + " " + x.call.Credentials, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI,
-			Prompt: x.call.Prompt(), Body: x.body,
+			Service: x.service, Method: x.r.Method, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Query: x.r.URL.RawQuery,
+			Prompt: x.call.Prompt(), Credentials: credentials, Others: others, Body: x.body,
 		}
-		d := r.Sum()
-		x.digest = &d
+		x.digests = []digest.Sum{r.Exact(), r.Similar()}
 	}
-	return *x.digest
+	return x.digests
 }
 
 // result is the outcome of an attempt at an upstream.
@@ -175,7 +171,7 @@
 	// "no upstream" covers every other request that did not run: without a usable upstream, after too many rejections, or when
 	// the retry budget or the time was used up.
 	x.count("refused")
-	log.Warn("refused", "why", why, "request", x.knownDigest(), "parts", x.call.PartNames(), "after", retryAfter)
+	log.Warn("refused", "why", why, "request", x.digests, "parts", x.call.PartNames(), "after", retryAfter)
 	setRetryAfter(x.w, retryAfter)
 	x.w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -388,7 +384,7 @@
 // handleError updates the counters and the circuit breaker after a failed attempt and returns its outcome.
 func (x *exchange) handleError(ctx context.Context, u *upstream, run *member.Upstream, err error) result {
 	id := run.ID
-	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "request", x.requestDigest(), "upstream", id, "parts", x.call.PartNames(), "err", err, "took", time.Since(x.arrived))
+	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "request", x.identity(), "upstream", id, "parts", x.call.PartNames(), "err", err, "took", time.Since(x.arrived))
 	var target *client.NoResponse
 	noResponse := errors.As(err, &target)
 	if noResponse {
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -56,7 +56,7 @@
 		u.breaker.Cancel()
 		return abandoned
 	}
-	x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "request", x.requestDigest(), "upstream", u.info.Load().ID, "framing", resp.Framing(), "bytes", len(buffered), "err", err)
+	x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "request", x.identity(), "upstream", u.info.Load().ID, "framing", resp.Framing(), "bytes", len(buffered), "err", err)
 	x.accuse(u, u.info.Load(), true, 0)
 	u.breaker.Failure()
 	return maybeRun
@@ -193,7 +193,7 @@
 			u.breaker.Cancel()
 			return abandoned
 		case err != nil:
-			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "request", x.requestDigest(), "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "parts", x.call.PartNames(), "err", err)
+			x.gate.log.Warn("response from upstream ended early", "id", x.call.ID, "request", x.identity(), "upstream", info.ID, "framing", resp.Framing(), "events", x.events, "parts", x.call.PartNames(), "err", err)
 			x.accuse(u, info, true, events.Count())
 			u.breaker.Failure()
 			return maybeRun
--- a/io/gate/trial.go
+++ b/io/gate/trial.go
@@ -8,6 +8,7 @@
 
 	"pimentoseam/core/beat"
 	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
 	"pimentoseam/core/leave"
 	"pimentoseam/io/proc"
 )
@@ -33,6 +34,7 @@
 
 // trial is the run of a suspect alone.
 type trial struct {
+	of        digest.Sum // The digest of the request that is suspect.
 	id        uint64
 	upstream  *upstream // Where a plain request is tried; nil for a prompt, whose engines are chosen later.
 	isUnclear bool      // The upstream closed the connection.
@@ -78,7 +80,7 @@
 	if !x.gate.crashes.IsActive() {
 		return crash.Free, 0
 	}
-	return x.gate.crashes.Check(x.requestDigest())
+	return x.gate.crashes.Check(x.identity()...)
 }
 
 // beginTrial announces a trial of the request and reports whether it may be made.
@@ -97,12 +99,11 @@
 			x.gate.log.Info("blocks and holds not read", "id", x.call.ID, "heard", heard, "known", known, "err", err)
 		}
 	}
-	d := x.requestDigest()
-	id, ok := x.gate.crashes.Begin(d, run)
+	id, d, ok := x.gate.crashes.Begin(run, x.identity()...)
 	if !ok {
 		return false
 	}
-	t.id = id
+	t.id, t.of = id, d
 	if x.gate.gossip.NumEntries() > 1 {
 		x.gate.gossip.Trigger()
 		proc.Sleep(ctx, trialSettle)
@@ -190,16 +191,8 @@
 	if status >= http.StatusInternalServerError {
 		return
 	}
-	if x.gate.crashes.Answered(beat.Key(x.service), x.requestDigest) {
-		x.gate.log.Info("request cleared", "id", x.call.ID, "request", x.requestDigest(), "upstream", x.lastUpstream, "status", status)
+	if x.gate.crashes.Answered(beat.Key(x.service), x.identity) {
+		x.gate.log.Info("request cleared", "id", x.call.ID, "request", x.identity(), "upstream", x.lastUpstream, "status", status)
 		x.gate.gossip.Trigger()
 	}
 }
-
-// knownDigest returns the digest of the request for the log, empty unless it was needed.
-func (x *exchange) knownDigest() string {
-	if x.digest == nil {
-		return ""
-	}
-	return x.digest.String()
-}
