entry, agent: a request that crashes plain services is tried alone and held, too

The agent told of a crash for model engines only, and the entry kept parts of chats only.

Change: agents state crashes of plain services, also under calls that run once; entries keep the requests in a crash.Book, which heartbeats carry over the agents to the other entries (new optional field). Two crashes under one request end its attempts, whatever the target. A request with a key that is held is "unknown", as an earlier one with that key may have run. The agent looks twice whether the upstream refuses connections.

--- a/core/alert/alert_test.go
+++ b/core/alert/alert_test.go
@@ -12,6 +12,8 @@
 	"pimentoseam/core/alert"
 	"pimentoseam/core/beat"
 	"pimentoseam/core/blame"
+	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
 	"pimentoseam/core/leave"
 	"pimentoseam/core/permit"
 	"pimentoseam/core/quota"
@@ -68,6 +70,27 @@
 	}
 }
 
+// goldenCrashes is an alert with a request that is held as this version encodes it.
+const goldenCrashes = "a301616502600ba10381a4015001000000000000000000000000000000020203010405"
+
+// TestGoldenCrashes is TestGolden for requests that were at crashes.
+func TestGoldenCrashes(t *testing.T) {
+	want := &alert.Alert{Name: "e", Crashes: &crash.Report{Holds: []crash.Hold{{Request: digest.Sum{1}, Strikes: 2, Sure: 1, Age: 5}}}}
+	if encoded := hex.EncodeToString(want.Encode()); encoded != goldenCrashes {
+		t.Errorf("got encoding %s, want %s", encoded, goldenCrashes)
+	}
+	data, err := hex.DecodeString(goldenCrashes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := alert.Parse(data); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+	if want.IsEmpty() {
+		t.Error("the alert counts as empty")
+	}
+}
+
 // goldenLimits is an alert with limits and permits as this version encodes it.
 const goldenLimits = "a5016165026008818782070b02191b58016166460a000002092718640981850382070b01187bf50a81830364776169741901c8"
 
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pimentoseam/core/blame"
+	"pimentoseam/core/crash"
 	"pimentoseam/core/fault"
 )
 
@@ -100,6 +101,7 @@
 	Start            time.Time     `cbor:"21,keyasint,omitzero"`  // The start time of the agent, sent only in its first minute.
 	StoppedAt        time.Time     `cbor:"20,keyasint,omitzero"`  // When the stopping process began to reject new keys.
 	Blame            *blame.Report `cbor:"22,keyasint,omitempty"` // Crashes of upstreams and the prompts that cause them; nil for none.
+	Crashes          *crash.Report `cbor:"23,keyasint,omitempty"` // Requests that were at crashes of upstreams; nil for none.
 }
 
 func (*Run) frame()     {}
--- a/core/frame/golden_test.go
+++ b/core/frame/golden_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pimentoseam/core/blame"
+	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
 	"pimentoseam/core/fault"
 	"pimentoseam/core/frame"
 )
@@ -61,6 +63,10 @@
 			&frame.Beat{Name: "n", Period: time.Minute, Blame: &blame.Report{Blocks: []blame.Block{{Parts: []blame.Part{2}, Age: 5}}}},
 			"a105a4010002616e131b0000000df847580016a1038182810205",
 		},
+		{
+			&frame.Beat{Name: "n", Period: time.Minute, Crashes: &crash.Report{Holds: []crash.Hold{{Request: digest.Sum{1}, Strikes: 2, Sure: 1, Age: 5}}}},
+			"a105a4010002616e131b0000000df847580017a10381a4015001000000000000000000000000000000020203010405",
+		},
 	}
 	for _, test := range tests {
 		data, err := hex.DecodeString(test.golden)
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -10,6 +10,7 @@
 
 	"pimentoseam/core/admit"
 	"pimentoseam/core/blame"
+	"pimentoseam/core/crash"
 	"pimentoseam/core/dedup"
 	"pimentoseam/core/event"
 	"pimentoseam/core/frame"
@@ -50,7 +51,8 @@
 	server     *server.Server
 	reconciler *reconciler
 	breaker    *health.Breaker
-	blame      *blame.Ledger // What entries report; passed on to the others.
+	blame      *blame.Ledger // What entries report of prompts; passed on to the others.
+	crashes    *crash.Book   // What entries report of requests; passed on to the others.
 
 	wake           chan struct{} // Signals refuseLate that a request may be queued.
 	isLeaving      atomic.Bool
@@ -80,6 +82,7 @@
 		calls:     make(map[callID]*call),
 		breaker:   health.New(),
 		blame:     blame.New(),
+		crashes:   crash.New(),
 		wake:      make(chan struct{}, 1),
 	}
 	a.reconciler = newReconciler(a, store.New(settings.Store))
@@ -208,6 +211,7 @@
 		Start:            startedAt,
 		StoppedAt:        stoppedAt,
 		Blame:            a.blame.Report(),
+		Crashes:          a.crashes.Report(),
 	}
 }
 
@@ -222,6 +226,7 @@
 		a.reconciler.observePlan(m.Epoch, m.Plan)
 		a.observeConfig(m.Config)
 		a.blame.Merge(m.Blame)
+		a.crashes.Merge(m.Crashes)
 	case *frame.Part, *frame.End:
 		a.log.Warn("unexpected frame")
 	}
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -153,11 +153,15 @@
 
 // failAtUpstream ends a call without a whole answer from the upstream, and states whether that has crashed.
 func (k *call) failAtUpstream(text string) {
-	var crashedAt time.Time
-	if k.ctx.Err() == nil && k.agent.settings.Kind == "model" {
-		crashedAt = k.agent.lastCrash()
+	k.failAfterCrash(fault.Failed, text, 0, k.crashedAt())
+}
+
+// crashedAt returns when the upstream crashed under the call, and zero if it did not.
+func (k *call) crashedAt() time.Time {
+	if k.ctx.Err() != nil {
+		return time.Time{}
 	}
-	k.failAfterCrash(fault.Failed, text, 0, crashedAt)
+	return k.agent.lastCrash()
 }
 
 // failAfterCrash is fail with the time at which the upstream crashed, zero if it did not.
--- a/io/agent/crash.go
+++ b/io/agent/crash.go
@@ -9,10 +9,22 @@
 // crashWindow is the time in which calls break off in one crash. An engine takes longer to start again.
 const crashWindow = time.Second
 
+// exitTime is the time that a process which ends may take between the ends of its connections and of its listener.
+const exitTime = 20 * time.Millisecond
+
+// isDown reports whether the upstream refuses connections.
+func (a *Agent) isDown() bool {
+	if socket.IsRefused(a.settings.Upstream) {
+		return true
+	}
+	time.Sleep(exitTime)
+	return socket.IsRefused(a.settings.Upstream)
+}
+
 // lastCrash returns when the upstream crashed if it refuses connections now, and zero otherwise. Calls that break off within
 // crashWindow get the same time.
 func (a *Agent) lastCrash() time.Time {
-	if !socket.IsRefused(a.settings.Upstream) {
+	if !a.isDown() {
 		return time.Time{}
 	}
 	a.mu.Lock()
--- a/io/entry/chat.go
+++ b/io/entry/chat.go
@@ -129,7 +129,7 @@
 	q.prefixHash = body.prefixHash()
 	q.parts = body.parts()
 	q.run.Method, q.run.Path, q.run.Type = http.MethodPost, "/v1/chat/completions", "application/json"
-	q.run.Body = data
+	q.path, q.run.Body = q.run.Path, data
 	q.run.PromptTokens = len(body.Messages)/bytesPerToken + 1
 	q.run.OutputTokens = body.outputTokens()
 	return e.respond(w, q, body.Stream)
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -1,28 +1,117 @@
 package entry
 
 import (
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"pimentoseam/core/blame"
+	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
+	"pimentoseam/core/fault"
 	"pimentoseam/core/leave"
 )
 
-// recordCrash records that an engine has crashed under this attempt.
+// trialRetryAfter is the retry-after of a copy of a request that is being tried. Entries hear of the result within two heartbeats.
+const trialRetryAfter = time.Second
+
+// trial is the run of a suspect alone.
+type trial struct {
+	id uint64
+	of digest.Sum // The digest of the request that is suspect.
+}
+
+// identity returns the digests of the request, the one that fewest requests share first. They are computed only if needed.
+func (q *request) identity() []digest.Sum {
+	if q.digests == nil {
+		path, query, _ := strings.Cut(q.path, "?")
+		r := &digest.Request{
+			Service: q.target.Name, Method: q.run.Method, Path: path, Query: query, Credentials: q.caller.Name, Others: q.run.Type, Body: q.run.Body,
+		}
+		q.digests = []digest.Sum{r.Exact(), r.Similar()}
+	}
+	return q.digests
+}
+
+// service identifies the target in reports of crashes.
+func (q *request) service() uint32 {
+	return uint32(xxhash.Sum64String(q.target.Name))
+}
+
+// checkCrashes returns an error if the request must not run because it, or a message of it, crashes upstreams. If it is only suspect
+// of that, it becomes a trial, which endTrial ends.
+func (q *request) checkCrashes() *fault.Error {
+	if left, ok := q.entry.blame.Blocked(q.parts); ok {
+		return fault.Retry("prompts with the same messages crash engines", left)
+	}
+	if q.trial != nil || !q.entry.crashes.IsActive() {
+		return nil
+	}
+	state, left := q.entry.crashes.Check(q.identity()...)
+	switch state {
+	case crash.Free:
+		return nil
+	case crash.Held:
+		return fault.Retry("the same request crashes upstreams", left)
+	case crash.Trying, crash.Suspect:
+	}
+	// An agent's upstream is known only once it is chosen, so a trial of this interface names none.
+	id, of, ok := q.entry.crashes.Begin(leave.Run{}, q.identity()...)
+	if !ok {
+		return fault.Retry("it is tried whether the same request crashes upstreams", trialRetryAfter)
+	}
+	q.trial = &trial{id: id, of: of}
+	q.entry.log.Info("trial", "request", q.id, "digests", q.digests)
+	return nil
+}
+
+// endTrial ends the trial if the request is one.
+func (q *request) endTrial() {
+	if q.trial != nil {
+		q.entry.crashes.End(q.trial.id)
+	}
+}
+
+// recordCrash records that an upstream has crashed under this attempt.
 func (t *transfer) recordCrash(at time.Time) {
 	q, name := t.request, t.attempt.up.conf.Load().Name
 	q.crashes++
 	run := leave.Run{Key: uint32(xxhash.Sum64String(name)), Started: at.UnixMilli()} // Names the crash, as no start is known.
-	added := q.entry.blame.Crashed(run, []blame.Suspect{{Begun: t.hasHead && t.received == 0, Parts: q.parts}})
-	q.entry.log.Warn("engine crashed", "request", q.id, "upstream", name, "bytes", t.received, "crashes", q.crashes)
-	q.entry.logBlocks(added, "itself")
+	var tried *digest.Sum
+	if q.trial != nil {
+		tried = &q.trial.of
+	}
+	hold := q.entry.crashes.Crashed(run, q.service(), q.identity(), tried)
+	q.entry.log.Warn("upstream crashed", "request", q.id, "digests", q.digests, "upstream", name, "bytes", t.received, "crashes", q.crashes, "trial", tried != nil)
+	if hold != nil {
+		q.entry.logHolds([]crash.Hold{*hold}, "itself")
+	}
+	if len(q.parts) > 0 && tried == nil {
+		added := q.entry.blame.Crashed(run, []blame.Suspect{{Begun: t.hasHead && t.received == 0, Parts: q.parts}})
+		q.entry.logBlocks(added, "itself")
+	}
 }
 
-// mergeBlame adds what the agent of an upstream passes on from other entries.
-func (e *Entry) mergeBlame(r *blame.Report, agent string) {
-	added, _ := e.blame.Merge(r)
+// recordSound records that an upstream has answered the request. A server error says nothing of the request.
+func (t *transfer) recordSound() {
+	q := t.request
+	if t.status >= http.StatusInternalServerError {
+		return
+	}
+	q.entry.blame.Answered(q.parts)
+	if q.entry.crashes.Answered(q.service(), q.identity) {
+		q.entry.log.Info("request cleared", "request", q.id, "digests", q.digests)
+	}
+}
+
+// mergeCrashes adds what the agent of an upstream passes on from other entries.
+func (e *Entry) mergeCrashes(prompts *blame.Report, requests *crash.Report, agent string) {
+	added, _ := e.blame.Merge(prompts)
 	e.logBlocks(added, agent)
+	holds, _ := e.crashes.Merge(requests)
+	e.logHolds(holds, agent)
 }
 
 // logBlocks logs prompts that are blocked from now on.
@@ -32,3 +121,11 @@
 		e.log.Warn("messages blocked", "parts", b.Parts, "from", source)
 	}
 }
+
+// logHolds logs requests that are held from now on.
+func (e *Entry) logHolds(holds []crash.Hold, source string) {
+	for _, h := range holds {
+		e.events.Add("held", "", "", h.Request.String()+" from "+source)
+		e.log.Warn("request held", "digest", h.Request, "strikes", h.Strikes, "sure", h.Sure, "left", h.Left(), "from", source)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pimentoseam/core/blame"
+	"pimentoseam/core/crash"
 	"pimentoseam/core/event"
 	"pimentoseam/core/pick"
 	"pimentoseam/core/retry"
@@ -38,6 +39,7 @@
 	admin          *server.Server
 	budget         *retry.Budget
 	blame          *blame.Ledger
+	crashes        *crash.Book
 	chooser        *pick.Chooser
 	view           atomic.Pointer[view]
 	fleet          atomic.Pointer[fleet]
@@ -65,6 +67,7 @@
 		vms:            vmlist.New(settings.VMs),
 		budget:         retry.New(retryRatio),
 		blame:          blame.New(),
+		crashes:        crash.New(),
 		chooser:        pick.New(),
 		catchUpSignal:  make(chan struct{}, 1),
 		upstreams:      make(map[string]*upstream),
--- a/io/entry/relayonce.go
+++ b/io/entry/relayonce.go
@@ -14,6 +14,11 @@
 // relayOnce tries the owners of the idempotency key in rank order. It goes on to the next owner only if the
 // key certainly never runs at any owner tried so far.
 func (q *request) relayOnce() *fault.Error {
+	if fail := q.checkCrashes(); fail != nil {
+		q.mayHaveRun = true // An earlier request with the same key.
+		return q.finalFault(fail)
+	}
+	defer q.endTrial()
 	var names []string
 	ups := make(map[string]*upstream)
 	owners, known := q.view.ownersAt(q.target.Name, q.run.Minted)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -8,6 +8,7 @@
 
 	"pimentoseam/core/blame"
 	"pimentoseam/core/conf"
+	"pimentoseam/core/digest"
 	"pimentoseam/core/fault"
 	"pimentoseam/core/frame"
 	"pimentoseam/core/pick"
@@ -15,7 +16,7 @@
 
 const (
 	maxAttempts           = 3
-	maxCrashes            = 2                      // A request under which so many engines have crashed is not tried again.
+	maxCrashes            = 2                      // A request under which so many upstreams have crashed is not tried again.
 	maxSilence            = 5 * time.Second        // An attempt fails if its upstream sends no frame for this long.
 	minFirstTimeout       = time.Second            // Minimum wait for the first frame of an answer.
 	maxRelinkWait         = 2 * time.Second        // Maximum wait for a new link to the same upstream.
@@ -35,7 +36,10 @@
 	run        frame.Run    // The frame that each attempt sends, without the fields that differ by attempt.
 	prefixHash string       // The hash of the prompt's prefix.
 	parts      []blame.Part // The messages of the prompt.
-	crashes    int          // The attempts under which an engine has crashed.
+	path       string       // As the caller sent it, with the query.
+	digests    []digest.Sum // Nil until they are needed; see identity.
+	trial      *trial       // Nil unless the request is a suspect that is tried.
+	crashes    int          // The attempts under which an upstream has crashed.
 	ctx        context.Context
 	start      time.Time
 	deadline   time.Time
@@ -72,9 +76,10 @@
 func (q *request) relay() *fault.Error {
 	q.entry.budget.Earn()
 	q.tried = make(map[*upstream]bool)
+	defer q.endTrial()
 	for {
-		if left, ok := q.entry.blame.Blocked(q.parts); ok {
-			return q.finalFault(fault.Retry("prompts with the same messages crash engines", left))
+		if fail := q.checkCrashes(); fail != nil {
+			return q.finalFault(fail)
 		}
 		up := q.chooseFirst()
 		if up == nil {
@@ -149,7 +154,7 @@
 // mayRetry reports whether another attempt is permitted after the given outcome. After an outcome that is
 // safeToRetry it takes nothing from the retry budget.
 func (q *request) mayRetry(result outcome) bool {
-	if q.crashes >= maxCrashes || result.isFinal || q.sink.hasDelivered() || result.fault.Kind == fault.Invalid || int(q.attemptNum) >= maxAttempts {
+	if q.crashes >= maxCrashes || (q.trial != nil && q.crashes > 0) || result.isFinal || q.sink.hasDelivered() || result.fault.Kind == fault.Invalid || int(q.attemptNum) >= maxAttempts {
 		return false
 	}
 	if time.Until(q.deadline) < minRetryTime {
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -48,6 +48,7 @@
 	if r.URL.RawQuery != "" {
 		q.run.Path += "?" + r.URL.RawQuery
 	}
+	q.path = q.run.Path
 	if q.target.IsNonRepeatable(r.Method) {
 		return e.serviceOnce(w, r, q)
 	}
--- a/io/entry/transfer.go
+++ b/io/entry/transfer.go
@@ -18,6 +18,7 @@
 	received     int64 // Bytes received so far.
 	acknowledged int64 // Bytes acknowledged so far.
 	hasHead      bool  // The status of the answer was received.
+	status       int   // The status of the answer.
 }
 
 // run relays frames until the attempt has ended.
@@ -141,7 +142,7 @@
 		m.Data = m.Data[min(skip, int64(len(m.Data))):]
 	}
 	if m.Status != 0 && !t.hasHead {
-		t.hasHead = true
+		t.hasHead, t.status = true, m.Status
 		if failed := t.retryableError(m.Status); failed != nil {
 			t.cancel()
 			return failed
@@ -189,6 +190,6 @@
 	if err := t.request.sink.end(); err != nil {
 		return sinkOutcome(err)
 	}
-	t.request.entry.blame.Answered(t.request.parts)
+	t.recordSound()
 	return &outcome{}
 }
--- a/io/entry/upstream.go
+++ b/io/entry/upstream.go
@@ -75,7 +75,7 @@
 func (u *upstream) Beat() *frame.Beat {
 	epoch, plan := u.entry.election.knownPlan(u.conf.Load().Target)
 	interval := link.HeartbeatInterval(int(u.entry.linkCount.Load()))
-	return &frame.Beat{Name: u.entry.settings.Name, Period: interval, Config: u.entry.view.Load().revision, Epoch: epoch, Plan: plan, Blame: u.entry.blame.Report()}
+	return &frame.Beat{Name: u.entry.settings.Name, Period: interval, Config: u.entry.view.Load().revision, Epoch: epoch, Plan: plan, Blame: u.entry.blame.Report(), Crashes: u.entry.crashes.Report()}
 }
 
 // Frame handles one frame from the agent.
@@ -87,7 +87,7 @@
 		u.observeBeat(m, time.Now())
 		u.inFlightAtBeat.Store(u.inFlight.Load())
 		u.entry.observeRevision(m.Config)
-		u.entry.mergeBlame(m.Blame, u.conf.Load().Name)
+		u.entry.mergeCrashes(m.Blame, m.Crashes, u.conf.Load().Name)
 	case *frame.Part:
 		u.entry.deliver(attemptID{m.ID, m.Attempt}, m)
 	case *frame.End:
--- a/io/fleet/crash_test.go
+++ b/io/fleet/crash_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"pimentoseam/io/fleet"
 	"pimentoseam/io/simflt"
 )
@@ -74,3 +77,77 @@
 		c.eventually(startTimeout, "sound prompts served again", func() bool { return chat(n, sound) == http.StatusOK })
 	}
 }
+
+// maxServiceEnds is the number of upstreams that one request may end: three, and three once all entries know.
+const maxServiceEnds = 6
+
+// TestRequestThatCrashesServices guards against a request that ends each plain service that runs it, at every entry and under new
+// keys, and against sound requests beside it being refused.
+func TestRequestThatCrashesServices(t *testing.T) {
+	for _, test := range []struct{ name, method string }{{"repeatable", http.MethodGet}, {"not repeatable", http.MethodPost}} {
+		t.Run(test.name, func(t *testing.T) {
+			const services, rounds = 3, 14
+			c := startCluster(t, 2, 0, services)
+			names := make([]string, services)
+			for i := range names {
+				names[i] = fmt.Sprintf("service-redirect-%d", i+1)
+				c.setFault(names[i], simflt.Fault{Name: simflt.Exit, On: true})
+			}
+			send := func(n int, text string) int {
+				path, body := "/v1/services/redirect-app/"+url.PathEscape(text), ""
+				if test.method == http.MethodPost {
+					path, body = "/v1/services/redirect-app/orders", text
+				}
+				status, _, _, err := c.call(fmt.Sprintf("entry-%d", 1+n%2), test.method, path, fleet.CounterToken, uuid.Must(uuid.NewV7()).String(), []byte(body))
+				if err != nil {
+					t.Logf("request %d: %v", n, err)
+				}
+				return status
+			}
+			for n := range 2 { // Agents run no keys that may be older than they are.
+				c.eventually(startTimeout, "served", func() bool { return send(n, "first") == http.StatusOK })
+			}
+			ended, last, sound, served := 0, 0, 0, 0
+			for n := range rounds {
+				for i := range 10 {
+					sound++
+					if send(i, fmt.Sprintf("sound %d %d", n, i)) == http.StatusOK {
+						served++
+					}
+				}
+				last = send(n, simflt.ExitText)
+				for _, name := range names {
+					if c.isListening(name) {
+						continue
+					}
+					ended++
+					c.kill(name)
+					c.start(name)
+					c.eventually(startTimeout, name+" listens", func() bool { return c.isListening(name) })
+					c.setFault(name, simflt.Fault{Name: simflt.Exit, On: true})
+				}
+				time.Sleep(1200 * time.Millisecond)
+			}
+			t.Logf("%d upstreams ended, the last request got %d, %d of %d sound ones were served", ended, last, served, sound)
+			if ended == 0 || ended > maxServiceEnds {
+				t.Errorf("%d upstreams ended under %d copies of a request, want 1 to %d", ended, rounds, maxServiceEnds)
+			}
+			if last != http.StatusServiceUnavailable {
+				t.Errorf("the last copy got %d, want %d", last, http.StatusServiceUnavailable)
+			}
+			if 10*served < 9*sound {
+				t.Errorf("%d of %d sound requests were served, want nine in ten", served, sound)
+			}
+		})
+	}
+}
+
+// isListening reports whether a process accepts connections.
+func (c *cluster) isListening(name string) bool {
+	conn, err := net.Dial("tcp", c.addresses[name].String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // Nothing was sent.
+	return true
+}
--- a/io/fleet/harness_test.go
+++ b/io/fleet/harness_test.go
@@ -397,7 +397,12 @@
 // post sends one request with a bearer token and, unless it is empty, an idempotency key. It returns the status,
 // the header and the body.
 func (c *cluster) post(entry, path, token, key string, body []byte) (int, http.Header, []byte, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.addresses[entry].String()+path, bytes.NewReader(body))
+	return c.call(entry, http.MethodPost, path, token, key, body)
+}
+
+// call is post with any method.
+func (c *cluster) call(entry, method, path, token, key string, body []byte) (int, http.Header, []byte, error) {
+	req, err := http.NewRequest(method, "http://"+c.addresses[entry].String()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, err
 	}
--- a/io/simflt/set.go
+++ b/io/simflt/set.go
@@ -22,11 +22,11 @@
 	Freeze       Name = "freeze" // Blocks each call until the fault is switched off.
 	Stale        Name = "stale"  // Reads return the previous value of a key.
 	Crash        Name = "crash"  // An engine crashes while it executes a command.
-	Exit         Name = "exit"   // An engine's process ends when it begins to answer a chat that contains ExitText.
+	Exit         Name = "exit"   // The process of an engine or a plain service ends when it begins to answer a request that contains ExitText.
 	Lag          Name = "late"   // Load reports and VM lists are as old as Duration.
 )
 
-// ExitText is the text of a chat to which Exit applies.
+// ExitText is the text of a request to which Exit applies.
 const ExitText = "exit the engine"
 
 // Fault switches a fault on or off and selects the calls that it applies to.
--- a/io/simsvc/service.go
+++ b/io/simsvc/service.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -52,6 +54,9 @@
 	key := r.Header.Get("Idempotency-Key")
 	run := s.countRun(key)
 	time.Sleep(s.callTime)
+	if _, ok := s.faults.Trigger(simflt.Exit, r); ok && strings.Contains(string(body)+r.URL.Path, simflt.ExitText) {
+		os.Exit(1)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(&Reply{Key: key, Run: run, Digest: simai.Digest(body), Server: s.name, Path: r.URL.Path})
 }
