oper, entry: held requests are listed and lifted; gate: more tests of requests that crash upstreams, also in the soak

An operator sees what is held and ends a hold: pimentoseam held [--lift DIGEST], at an entry's administration interface or, on the platform, in the store, from which the leader takes it within five seconds (TestLiftedHold).

--- a/core/crash/stored.go
+++ b/core/crash/stored.go
@@ -7,6 +7,9 @@
 	"pimentoseam/core/digest"
 )
 
+// StoreKey is the key of the held requests in the store.
+const StoreKey = "held"
+
 // storedHold is the hold of a request as the store keeps it.
 type storedHold struct {
 	Request digest.Sum `json:"request"` // In hexadecimal.
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -93,6 +93,25 @@
 	return &status, decode(path, data, &status)
 }
 
+// Held returns the requests that are held because they crash upstreams; its error is a *Error.
+func (c *Client) Held(ctx context.Context) ([]report.Held, error) {
+	return c.held(ctx, http.MethodGet, "/admin/held")
+}
+
+// Lift clears a request that is held, given its digest, and returns the others; its error is a *Error.
+func (c *Client) Lift(ctx context.Context, request string) ([]report.Held, error) {
+	return c.held(ctx, http.MethodPost, "/admin/lift/"+url.PathEscape(request))
+}
+
+func (c *Client) held(ctx context.Context, method, path string) ([]report.Held, error) {
+	var list []report.Held
+	data, err := c.call(ctx, method, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return list, decode(path, data, &list)
+}
+
 // Events returns the events since the given time, only those of a request if it is not empty; its error is a *Error.
 func (c *Client) Events(ctx context.Context, since time.Time, request string) ([]event.Event, error) {
 	query := url.Values{"request": {request}}
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"pimentoseam/core/conf"
+	"pimentoseam/core/crash"
+	"pimentoseam/core/digest"
 	"pimentoseam/core/fault"
 	"pimentoseam/core/report"
 	"pimentoseam/io/proc"
@@ -24,6 +26,8 @@
 	mux.HandleFunc("GET /admin/submissions/{id}", e.requireOperator(e.showSubmission))
 	mux.HandleFunc("POST /admin/drain/{upstream}", e.requireOperator(e.drainUpstream))
 	mux.HandleFunc("GET /admin/status", e.requireOperator(e.showStatus))
+	mux.HandleFunc("GET /admin/held", e.requireOperator(e.showHeld))
+	mux.HandleFunc("POST /admin/lift/{request}", e.requireOperator(e.liftHeld))
 	mux.HandleFunc("GET /admin/events", e.requireOperator(e.showEvents))
 	return mux
 }
@@ -54,6 +58,29 @@
 	server.WriteJSON(w, http.StatusOK, &report.Config{Revision: v.revision, Body: body})
 }
 
+// showHeld lists the requests that are held because they crash upstreams.
+func (e *Entry) showHeld(w http.ResponseWriter, _ *http.Request) {
+	server.WriteJSON(w, http.StatusOK, crash.Describe(e.crashes.Holds()))
+}
+
+// liftHeld clears a request that is held.
+func (e *Entry) liftHeld(w http.ResponseWriter, r *http.Request) {
+	var d digest.Sum
+	if err := d.UnmarshalText([]byte(r.PathValue("request"))); err != nil {
+		server.WriteError(w, invalidRequest(err.Error()), "")
+		return
+	}
+	if !e.crashes.Lift(d) {
+		fail := invalidRequest("no request with this digest is held")
+		fail.Status = http.StatusNotFound
+		server.WriteError(w, fail, "")
+		return
+	}
+	e.events.Add("lifted", "", "", d.String())
+	e.log.Warn("hold lifted", "digest", d)
+	server.WriteJSON(w, http.StatusOK, crash.Describe(e.crashes.Holds()))
+}
+
 // drainUpstream submits the current configuration with the upstream's drain flag changed.
 func (e *Entry) drainUpstream(w http.ResponseWriter, r *http.Request) {
 	v := e.view.Load()
--- a/io/gate/blocks.go
+++ b/io/gate/blocks.go
@@ -11,7 +11,7 @@
 
 const (
 	blocksKey = "blocked" // Store key of the blocked parts of prompts.
-	// storedReadPause is the minimum time between two reads of that key and of holdsKey after crashes.
+	// storedReadPause is the minimum time between two reads of that key and of the held requests after crashes.
 	storedReadPause = time.Second
 )
 
--- a/io/gate/crashrequest_test.go
+++ b/io/gate/crashrequest_test.go
@@ -7,12 +7,15 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"pimentoseam/core/crash"
+	"pimentoseam/io/oper"
 	"pimentoseam/io/simop"
 )
 
@@ -245,6 +248,7 @@
 		body   string
 		prompt []string // The parts of the prompt at fault.
 		varied bool     // Each attempt comes from another address and has other headers.
+		away   bool     // The store is away.
 	}{
 		{name: "safe", gates: 3, site: &crashSite{stages: plain(8), back: 3 * time.Second}, method: "GET", path: "/plain/bad"},
 		{name: "unsafe with a body", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second}, method: "POST", path: "/once/bad", body: body},
@@ -255,6 +259,7 @@
 		{name: "after the head", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second, crash: simop.Crash{Stage: simop.AfterHead}}, method: "POST", path: "/plain/bad", body: body},
 		{name: "inside the body", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second, crash: simop.Crash{Stage: simop.InsideBody}}, method: "POST", path: "/once/bad", body: body},
 		{name: "other addresses and headers each time", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second}, method: "POST", path: "/plain/bad", body: body, varied: true},
+		{name: "store away", gates: 3, site: &crashSite{stages: plain(4), back: time.Second, keepID: true}, method: "POST", path: "/plain/bad", body: body, away: true},
 		{name: "long body", gates: 3, site: &crashSite{stages: plain(4), back: 3 * time.Second}, method: "POST", path: "/plain/bad", body: strings.Repeat("x", 60<<10)},
 		{name: "last part of a prompt", gates: 3, site: &crashSite{service: "lm", stages: []string{"prefill", "decode", "decode", "decode", "decode"}, back: 2 * time.Second, crash: simop.Crash{Stage: simop.AfterHead}}, method: "POST", path: "/fixed/x", prompt: []string{"aa", "last0"}},
 		{name: "last part, in the stream", gates: 3, site: &crashSite{service: "lm", stages: []string{"prefill", "decode", "decode", "decode", "decode"}, back: 2 * time.Second, crash: simop.Crash{Stage: simop.InsideBody}}, method: "POST", path: "/model/x", prompt: []string{"aa", "last0"}},
@@ -279,6 +284,9 @@
 			}
 			newCrashSite(t, site)
 			gates := startCluster(t, store, test.gates)
+			if test.away {
+				store.SetMode(simop.Refusing)
+			}
 			stop := make(chan struct{})
 			var wait sync.WaitGroup
 			var measuring atomic.Bool
@@ -348,6 +356,55 @@
 	return []string{"X-Model", "m", "X-Token-Counts", fmt.Sprintf("%d,20", 200*len(parts)), "X-Prompt-Prefix", strings.Join(list, ",")}
 }
 
+// TestTwoRequestsAtFault guards against one request that crashes upstreams hiding another one, and a sound one being taken for either.
+func TestTwoRequestsAtFault(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	crash := simop.Crash{Stage: simop.BeforeHead, Matches: func(req *http.Request, _ string) bool { return strings.HasPrefix(req.URL.Path, "/plain/bad") }}
+	site := newCrashSite(t, &crashSite{store: store, service: "app", stages: plain(6), back: 2 * time.Second, crash: crash})
+	gates := startCluster(t, store, 3)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	var measuring atomic.Bool
+	var polled, others tally
+	for i := range 2 {
+		repeat(t, gates, 200*time.Millisecond, stop, &wait, func() *callerRequest {
+			return &callerRequest{method: "GET", path: fmt.Sprint("/plain/bad", i)}
+		}, &measuring, &tally{})
+	}
+	repeat(t, gates, 30*time.Millisecond, stop, &wait, func() *callerRequest {
+		return &callerRequest{method: "GET", path: "/plain/status"}
+	}, &measuring, &polled)
+	repeat(t, gates, 30*time.Millisecond, stop, &wait, func() *callerRequest {
+		return &callerRequest{method: "POST", path: "/once/x", body: fmt.Sprint(rand.Uint64())}
+	}, &measuring, &others)
+	eventually(t, 30*time.Second, "six crashes", func() bool { return site.numCrashes() >= 2*crashesAllowed })
+	began := time.Now()
+	time.Sleep(contactTime + site.back)
+	measuring.Store(true)
+	time.Sleep(4 * time.Second)
+	close(stop)
+	wait.Wait()
+	late := 0
+	site.mu.Lock()
+	for _, at := range site.arrivals {
+		if at.Sub(began) > contactTime {
+			late++
+		}
+	}
+	site.mu.Unlock()
+	t.Logf("%d crashes, %d late; polled %d of %d, others %d of %d served", site.numCrashes(), late, polled.served.Load(), polled.sent.Load(), others.served.Load(), others.sent.Load())
+	if late > 2*allowedAfter {
+		t.Errorf("the two requests reached upstreams %d times later than %v after the sixth crash, want %d at most", late, contactTime, 2*allowedAfter)
+	}
+	for name, c := range map[string]*tally{"polled": &polled, "others": &others} {
+		if 10*c.served.Load() < 9*c.sent.Load() {
+			t.Errorf("%s: %d of %d sound requests were served, want nine in ten", name, c.served.Load(), c.sent.Load())
+		}
+	}
+}
+
 // TestOwnRepeatsCount guards against an entry that sends a request on to upstream after upstream as it ends them.
 func TestOwnRepeatsCount(t *testing.T) {
 	t.Parallel()
@@ -436,3 +493,35 @@
 		t.Errorf("%d upstreams crashed after the restart, want none", n)
 	}
 }
+
+// TestLiftedHold checks that a hold that an operator lifts in the store ends at all entries.
+func TestLiftedHold(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	site := newCrashSite(t, &crashSite{store: store, service: "app", stages: plain(6), back: time.Second, crash: plainCrash("/once/bad", "x", simop.BeforeHead)})
+	gates := startCluster(t, store, 2)
+	bad := &callerRequest{method: "POST", path: "/once/bad", body: "x"}
+	isHeld := func(g *testGate) bool {
+		before := site.numCrashes()
+		status, after := bad.send(t, g)
+		left, err := strconv.ParseFloat(after, 64)
+		return status == http.StatusServiceUnavailable && err == nil && left > 60 && site.numCrashes() == before
+	}
+	eventually(t, 30*time.Second, "held", func() bool { return isHeld(gates[0]) && isHeld(gates[1]) })
+	eventually(t, 5*time.Second, "stored", func() bool { return len(store.Value(crash.StoreKey)) > 10 })
+	if code := oper.Run(t.Context(), []string{"held", "--store", store.Addr().String(), "--lift", "xyz"}); code != oper.Failure {
+		t.Errorf("lifting %q got code %v, want %v", "xyz", code, oper.Failure)
+	}
+	holds, _, err := crash.ParseHolds(store.Value(crash.StoreKey))
+	if err != nil || len(holds) == 0 {
+		t.Fatalf("stored holds %v, %v", holds, err)
+	}
+	for _, h := range holds {
+		if code := oper.Run(t.Context(), []string{"held", "--store", store.Addr().String(), "--lift", h.Request.String()}); code != oper.OK {
+			t.Errorf("lifting %v got code %v", h.Request, code)
+		}
+	}
+	before := site.numCrashes()
+	eventually(t, 12*time.Second, "lifted", func() bool { bad.send(t, gates[1]); return site.numCrashes() > before })
+}
--- a/io/gate/holds.go
+++ b/io/gate/holds.go
@@ -10,11 +10,8 @@
 	"pimentoseam/platform"
 )
 
-const (
-	holdsKey = "held" // Store key of the requests that are held.
-	// liftInterval is the time between two looks for holds that an operator has lifted. The command that lifts one says so.
-	liftInterval = 5 * time.Second
-)
+// liftInterval is the time between two looks for holds that an operator has lifted. The command that lifts one says so.
+const liftInterval = 5 * time.Second
 
 // writtenHolds is what the leader knows of the holds in the store.
 type writtenHolds struct {
@@ -26,7 +23,7 @@
 // readHolds adds the holds in the store to those of this entry, and clears what an operator has lifted. It returns the item and
 // the requests that were lifted.
 func (g *Gate) readHolds(ctx context.Context) (platform.Item, []digest.Sum, error) {
-	item, err := g.store.Get(ctx, holdsKey)
+	item, err := g.store.Get(ctx, crash.StoreKey)
 	if err != nil {
 		return platform.Item{}, nil, err
 	}
@@ -63,9 +60,9 @@
 	if len(lifted) == 0 && l.hasWrittenHolds(holds) {
 		return
 	}
-	put := platform.Put{Key: holdsKey, Value: crash.EncodeHolds(holds, nil)}
+	put := platform.Put{Key: crash.StoreKey, Value: crash.EncodeHolds(holds, nil)}
 	era := l.gate.store.Era()
-	if _, _, err := l.gate.store.Commit(ctx, []platform.Condition{{Key: holdsKey, Revision: item.Revision}}, []platform.Put{put}, nil); err != nil {
+	if _, _, err := l.gate.store.Commit(ctx, []platform.Condition{{Key: crash.StoreKey, Revision: item.Revision}}, []platform.Put{put}, nil); err != nil {
 		l.gate.log.Warn("holds not written", "err", err)
 		return
 	}
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -86,18 +86,20 @@
 	added       atomic.Int64 // Number of replicas of the app service that were ever added.
 	hasCrashes  bool         // Some prompts crash the engines.
 
-	mu        sync.Mutex
-	apps      []*relayedReplica // The replicas of the app service that faults are injected into.
-	replicas  []*simop.Replica  // All replicas, including removed ones.
-	results   []callResult
-	served    map[string]int64               // Newest configuration version that each instance of a gate served.
-	crashes   []time.Time                    // Of engines under crashPart.
-	limits    map[*simop.Replica]*namedLimit // The limits in force.
-	excesses  []string                       // Limits that calm gates exceeded.
-	late      []string                       // Attempt ids of the requests with crashPart that calm gates sent too late after the fifth crash.
-	stopped   bool                           // No engine is started again.
-	disturbed []disturbance                  // By gate.
-	limiting  sync.WaitGroup                 // The replicas that name limits.
+	mu         sync.Mutex
+	apps       []*relayedReplica // The replicas of the app service that faults are injected into.
+	replicas   []*simop.Replica  // All replicas, including removed ones.
+	results    []callResult
+	served     map[string]int64               // Newest configuration version that each instance of a gate served.
+	crashes    []time.Time                    // Of engines under crashPart.
+	limits     map[*simop.Replica]*namedLimit // The limits in force.
+	excesses   []string                       // Limits that calm gates exceeded.
+	appCrashes []time.Time                    // Of replicas of the app service under crashBody.
+	appLate    []string                       // Attempt ids of the requests with crashBody that calm gates sent too late after the third crash.
+	late       []string                       // Attempt ids of the requests with crashPart that calm gates sent too late after the fifth crash.
+	stopped    bool                           // No engine is started again.
+	disturbed  []disturbance                  // By gate.
+	limiting   sync.WaitGroup                 // The replicas that name limits.
 }
 
 // relayedReplica is a replica of the app service with the relay that gates connect to it through.
@@ -117,7 +119,7 @@
 
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
 // requests of unsafe routes run at most once, and not at all if they were rejected; responses are complete; no gate
-// returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines, which odd seeds send, soon reach none; and
+// returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines and requests that crash plain upstreams, which odd seeds send, soon reach none; and
 // requests are served again soon after the last fault. The environment
 // variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
 // directory for the logs.
@@ -273,13 +275,12 @@
 
 // addApp starts and registers a replica of the app service behind a relay.
 func (c *soakCluster) addApp(n int) {
-	r := simop.NewReplica(fmt.Sprintf("a-%d", n), "app", "")
+	r := c.startApp(fmt.Sprintf("a-%d", n), nil)
 	relay, err := simnet.New(r.Addr())
 	if err != nil {
 		c.t.Error(err)
 		return
 	}
-	c.t.Cleanup(r.Close)
 	c.t.Cleanup(relay.Close)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -481,8 +482,12 @@
 			}
 			result.crash = c.hasCrashes && random.IntN(6) == 0
 		}
+		body := "body"
+		if c.hasCrashes && path == "/once/x" && random.IntN(30) == 0 {
+			body, result.crash = crashBody, true
+		}
 		before := c.newestServed(gate, starts)
-		req, err := http.NewRequest(http.MethodPost, "http://"+c.settings[gate].Listen.String()+path, strings.NewReader("body"))
+		req, err := http.NewRequest(http.MethodPost, "http://"+c.settings[gate].Listen.String()+path, strings.NewReader(body))
 		if err != nil {
 			c.t.Error(err)
 			return
@@ -492,7 +497,7 @@
 		for i := 0; i < len(promptHeaders); i += 2 {
 			req.Header.Set(promptHeaders[i], promptHeaders[i+1])
 		}
-		if result.crash {
+		if result.crash && body != crashBody {
 			req.Header.Set("X-Prompt-Prefix", "aa:500,"+crashPart+":4800,cc:6700")
 		}
 		req.Header.Set("X-Deadline-Remaining-Ms", "5000")
@@ -613,7 +618,10 @@
 	if len(c.late) > allowedAfter {
 		c.t.Errorf("%d requests with a part that crashes engines were sent later than %v after the fifth of %d crashes, want %d at most: %v", len(c.late), contactTime, len(c.crashes), allowedAfter, c.late)
 	}
-	c.t.Logf("%d engines crashed under the part", len(c.crashes))
+	if len(c.appLate) > allowedAfter {
+		c.t.Errorf("%d requests that crash replicas were sent later than %v after the third of %d crashes, want %d at most: %v", len(c.appLate), contactTime, len(c.appCrashes), allowedAfter, c.appLate)
+	}
+	c.t.Logf("%d engines crashed under the part, %d late; %d replicas under the request, %d late", len(c.crashes), len(c.late), len(c.appCrashes), len(c.appLate))
 	for _, e := range c.excesses {
 		c.t.Error(e)
 	}
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -77,6 +79,66 @@
 	}
 }
 
+// crashBody is the body of requests that crash the replicas of the app service in TestSoak.
+const crashBody = "crash"
+
+// startApp starts a replica of the app service, under an id that it may have had before; its caller registers it.
+func (c *soakCluster) startApp(id string, l net.Listener) *simop.Replica {
+	var opts []simop.Option
+	if l != nil {
+		opts = append(opts, simop.WithListener(l))
+	}
+	r := simop.NewReplica(id, "app", "", opts...)
+	r.SetBorn(time.Now().UnixMilli())
+	if c.hasCrashes {
+		r.SetCrash(&simop.Crash{
+			Matches: func(_ *http.Request, body string) bool { return body == crashBody }, Stage: simop.BeforeHead,
+			OnArrival: c.recordAppArrival, OnCrash: func() { c.restartApp(r) },
+		})
+	}
+	return r
+}
+
+// recordAppArrival checks when a request with crashBody reaches a replica; its id names the gate that sent it.
+func (c *soakCluster) recordAppArrival(id string) {
+	gate := c.gateOf(id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isCalm(gate) && len(c.appCrashes) >= crashesAllowed && time.Since(c.appCrashes[crashesAllowed-1]) > contactTime {
+		c.appLate = append(c.appLate, id)
+	}
+}
+
+// restartApp starts a replica that has crashed again under its id. Its relay accepts connections meanwhile, as a proxy would, so
+// that only the new start time shows the crash.
+func (c *soakCluster) restartApp(r *simop.Replica) {
+	c.mu.Lock()
+	i := slices.IndexFunc(c.apps, func(a *relayedReplica) bool { return a.Replica == r })
+	if i < 0 || c.stopped {
+		c.mu.Unlock()
+		return // It was removed or has ended already.
+	}
+	relay := c.apps[i].relay
+	c.appCrashes = append(c.appCrashes, time.Now())
+	c.mu.Unlock()
+	time.Sleep(time.Second)
+	l, err := net.Listen("tcp", r.Addr().String())
+	if err != nil {
+		c.t.Errorf("replica not started again: %v", err)
+		return
+	}
+	next := c.startApp(r.ID, l)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i = slices.IndexFunc(c.apps, func(a *relayedReplica) bool { return a.Replica == r })
+	if i < 0 || c.stopped {
+		next.Close()
+		return
+	}
+	c.apps[i], c.replicas = &relayedReplica{Replica: next, relay: relay}, append(c.replicas, next)
+	c.store.Put("servers/"+next.ID, next.RegistrationAt("ready", relay.Addr()))
+}
+
 // replaceEngine crashes the engine of a slot, and starts another one at its address later. It does nothing if that was done
 // already, as by another request with crashPart.
 func (c *soakCluster) replaceEngine(slot int, e *simop.Replica, downTime time.Duration, isUnderPart bool) {
@@ -124,8 +186,6 @@
 	defer c.mu.Unlock()
 	c.stopped = true
 	for _, r := range c.replicas {
-		if r.Service == "lm" {
-			r.Close()
-		}
+		r.Close()
 	}
 }
