tend, agent, gossip: an order that ends an engine isn't given on; an input can't end the process that reads it

The agent of the own interface did the same each second; it waits in the same way if the engine refuses connections after the order. An order that is carried out ends the series.

A datagram, a notice, a configuration or a list whose handling panics would have ended an entry or agent, which would read it again after its start.

--- a/io/agent/reconciler.go
+++ b/io/agent/reconciler.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"pimentoseam/core/crash"
 	"pimentoseam/core/plan"
 	"pimentoseam/io/engine"
 	"pimentoseam/io/proc"
@@ -36,6 +37,9 @@
 	announced  plan.Plan  // The newest epoch and revision that entries have announced.
 	isChanging bool
 
+	crashes   int       // Commands in a row under which the engine has ended.
+	crashedAt time.Time // When it ended under the last one.
+
 	earlierCommandsExpired bool      // Set when no earlier command can still reach the engine; reset by a timeout.
 	answeringSince         time.Time // Since when the engine has answered without a failure.
 }
@@ -112,7 +116,25 @@
 	if !ok || (command.Role == state.Role && command.Version == state.Version) {
 		return true
 	}
-	return r.checkEarlierCommands() && r.apply(ctx, p, command)
+	return r.checkEarlierCommands() && !r.isPausedAfterCrash() && r.apply(ctx, p, command)
+}
+
+// isPausedAfterCrash reports whether the engine gets no command now, because it has ended under the last ones.
+func (r *reconciler) isPausedAfterCrash() bool {
+	return r.crashes > 0 && time.Since(r.crashedAt) < crash.Backoff(r.crashes)
+}
+
+// recordCommand records whether the engine has ended under a command that failed.
+func (r *reconciler) recordCommand(failed error) {
+	if failed == nil {
+		r.crashes = 0
+		return
+	}
+	if r.agent.isDown() {
+		r.crashes++
+		r.crashedAt = time.Now()
+		r.agent.log.Warn("engine ended under command", "crashes", r.crashes, "next", crash.Backoff(r.crashes), "err", failed)
+	}
 }
 
 // checkEarlierCommands returns true if no earlier command can still reach the engine: neither one of the agent's
@@ -178,6 +200,7 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		r.earlierCommandsExpired, r.answeringSince = false, time.Time{}
 	}
+	r.recordCommand(err)
 	if err != nil {
 		r.agent.events.Add("change-failed", "", command.Upstream, err.Error())
 		return false
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -79,7 +79,8 @@
 // New returns a Follower that calls apply with each update, one at a time.
 func New(store *platform.Store, log *slog.Logger, prefix string, apply func(Update), opts ...Option) *Follower {
 	f := &Follower{
-		store: store, log: log, prefix: prefix, apply: apply, onFailure: func() {},
+		store: store, log: log, prefix: prefix, onFailure: func() {},
+		apply: func(u Update) { proc.Guard(log, "update of "+prefix, func() { apply(u) }) },
 		wait: func() time.Duration { return maxWait }, suspended: func() bool { return false }, revision: func() int64 { return 0 },
 		retryWait: func(previous time.Duration) time.Duration { return probe.Wait(0, 1, previous) },
 	}
--- a/io/gate/crashrequest_test.go
+++ b/io/gate/crashrequest_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	s.t, s.replicas = t, make([]*simop.Replica, len(s.stages))
 	for slot := range s.stages {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", freeAddrs(t, 1)[0].String()) // Where no other process takes the port while it is down.
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -275,7 +275,12 @@
 
 // addApp starts and registers a replica of the app service behind a relay.
 func (c *soakCluster) addApp(n int) {
-	r := c.startApp(fmt.Sprintf("a-%d", n), nil)
+	l, err := net.Listen("tcp", netip.AddrPortFrom(soakHost(5, n%250), 0).String())
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	r := c.startApp(fmt.Sprintf("a-%d", n), l)
 	relay, err := simnet.New(r.Addr())
 	if err != nil {
 		c.t.Error(err)
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -84,11 +84,7 @@
 
 // startApp starts a replica of the app service, under an id that it may have had before; its caller registers it.
 func (c *soakCluster) startApp(id string, l net.Listener) *simop.Replica {
-	var opts []simop.Option
-	if l != nil {
-		opts = append(opts, simop.WithListener(l))
-	}
-	r := simop.NewReplica(id, "app", "", opts...)
+	r := simop.NewReplica(id, "app", "", simop.WithListener(l))
 	r.SetBorn(time.Now().UnixMilli())
 	if c.hasCrashes {
 		r.SetCrash(&simop.Crash{
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -369,26 +369,31 @@
 			}
 			continue
 		}
-		if alert.IsAlert(buffer[:n]) {
-			g.handleAlert(from, buffer[:n])
-			continue
-		}
-		b, err := beat.Parse(buffer[:n])
-		if err != nil {
-			g.log.Warn("invalid beat", "peer", from, "err", err)
-			continue
-		}
-		if b.Name == g.name && b.Zone == g.zone {
-			continue
-		}
-		switch {
-		case b.Digest:
-			g.handleDigest(b)
-		case b.Zone != g.zone:
-			g.answerRemote(b)
-		default:
-			g.handleBeat(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b)
-		}
+		proc.Guard(g.log, "datagram from "+from.String(), func() { g.handle(from, buffer[:n]) })
+	}
+}
+
+// handle handles a datagram.
+func (g *Gossip) handle(from netip.AddrPort, data []byte) {
+	if alert.IsAlert(data) {
+		g.handleAlert(from, data)
+		return
+	}
+	b, err := beat.Parse(data)
+	if err != nil {
+		g.log.Warn("invalid beat", "peer", from, "err", err)
+		return
+	}
+	if b.Name == g.name && b.Zone == g.zone {
+		return
+	}
+	switch {
+	case b.Digest:
+		g.handleDigest(b)
+	case b.Zone != g.zone:
+		g.answerRemote(b)
+	default:
+		g.handleBeat(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b)
 	}
 }
 
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -45,6 +45,7 @@
 	mostConns      int               // The most connections that were open at a time.
 	arrivals       []time.Time       // Times of all calls, including those that were turned away.
 	crash          *Crash            // The requests that crash the replica; nil for none.
+	onOrder        func()            // Unless nil, called with each order in place of carrying it out; the connection is closed.
 }
 
 // Option configures a Replica.
@@ -464,7 +465,21 @@
 	}{Stage: r.stage, Busy: r.busy, Sequence: r.acceptedOrders, Born: r.born})
 }
 
+// SetOnOrder makes the replica end at each order, as far as the agent sees, and calls f for it.
+func (r *Replica) SetOnOrder(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onOrder = f
+}
+
 func (r *Replica) serveOrder(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	onOrder := r.onOrder
+	r.mu.Unlock()
+	if onOrder != nil {
+		onOrder()
+		panic(http.ErrAbortHandler)
+	}
 	var o struct {
 		Stage    string `json:"stage"`
 		Holder   string `json:"holder"`
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -5,12 +5,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync"
 	"time"
 
 	"pimentoseam/core/call"
+	"pimentoseam/core/crash"
 	"pimentoseam/core/member"
 	"pimentoseam/core/notice"
 	"pimentoseam/core/plan"
@@ -62,6 +64,7 @@
 	pauseEnd      time.Time  // Until then the engine wants no calls.
 	limit         call.Limit // The limit that the engine names.
 	nextCall      time.Time  // No call is made before, because of the limit.
+	ordered       lastOrder  // The last order, and the ones under which the engine has ended.
 
 	mu          sync.Mutex
 	command     plan.Command // The engine's command in the newest known plan.
@@ -70,6 +73,14 @@
 	lastContact time.Time    // When the last notice arrived or the store last returned a plan.
 }
 
+// lastOrder is the last order to the engine.
+type lastOrder struct {
+	role    string
+	run     int64     // The start time of the engine that got it, in Unix milliseconds.
+	at      time.Time // When it was sent; zero if there was none or the engine has carried it out.
+	crashes int       // Orders in a row under which the engine has ended.
+}
+
 // Option configures a Tend.
 type Option func(*Tend)
 
@@ -161,18 +172,23 @@
 			}
 			continue
 		}
-		n, err := notice.Parse(buffer[:size])
-		if err != nil {
-			t.log.Warn("invalid notice", "from", from, "err", err)
-			continue
-		}
-		if n.Service != t.settings.Service || n.Addr != t.settings.Engine.String() {
-			t.log.Warn("notice for another engine", "from", from, "service", n.Service, "addr", n.Addr)
-			continue
-		}
-		command, ok := n.Command()
-		t.update(command, ok, n.StoreRevision, n.Epoch, n.Leader)
+		proc.Guard(t.log, "notice from "+from.String(), func() { t.handleNotice(from, buffer[:size]) })
+	}
+}
+
+// handleNotice applies a notice of the leader.
+func (t *Tend) handleNotice(from netip.AddrPort, data []byte) {
+	n, err := notice.Parse(data)
+	if err != nil {
+		t.log.Warn("invalid notice", "from", from, "err", err)
+		return
 	}
+	if n.Service != t.settings.Service || n.Addr != t.settings.Engine.String() {
+		t.log.Warn("notice for another engine", "from", from, "service", n.Service, "addr", n.Addr)
+		return
+	}
+	command, ok := n.Command()
+	t.update(command, ok, n.StoreRevision, n.Epoch, n.Leader)
 }
 
 // pollStore reads the plan from the store while no notices arrive, until ctx ends.
@@ -265,11 +281,36 @@
 		return busyReportInterval
 	}
 	if string(report.Role) == command.Role {
+		t.ordered = lastOrder{}
 		return reportInterval
 	}
+	if pause := t.pauseAfterCrash(report.StartedMs, command.Role); pause > 0 {
+		return min(pause, reportInterval)
+	}
+	t.ordered.role, t.ordered.run, t.ordered.at = command.Role, report.StartedMs, time.Now()
 	return t.sendOrder(ctx, &platform.Order{Role: member.Role(command.Role), Holder: t.settings.Name, FencingToken: token, ExpectedOrders: report.AcceptedOrders}, command.Upstream)
 }
 
+// pauseAfterCrash returns how much longer the engine, given the start time of its run, gets no order to take a role, because it has
+// ended under such orders.
+func (t *Tend) pauseAfterCrash(run int64, role string) time.Duration {
+	o := &t.ordered
+	if o.role != role {
+		*o = lastOrder{}
+		return 0
+	}
+	if !o.at.IsZero() && run != o.run {
+		o.run = run
+		o.crashes++
+		t.meter.Count("crashes under orders")
+		t.log.Warn("engine ended under order", "role", role, "crashes", o.crashes, "next", crash.Backoff(o.crashes)-time.Since(o.at))
+	}
+	if o.crashes == 0 {
+		return 0
+	}
+	return crash.Backoff(o.crashes) - time.Since(o.at)
+}
+
 // sendOrder sends an order to the engine once and returns the time until the next comparison.
 func (t *Tend) sendOrder(ctx context.Context, o *platform.Order, instance string) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/io/tend/tend_test.go
+++ b/io/tend/tend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,6 +158,33 @@
 	eventually(t, 3*time.Second, "prefill again", func() bool { return engine.Stage() == "prefill" })
 }
 
+// TestOrderThatCrashesEngine guards against an agent that gives an engine the same order again each time the engine is back after
+// it has ended under it.
+func TestOrderThatCrashesEngine(t *testing.T) {
+	store, engine := simop.NewStore(), simop.NewReplica("i-1", "lm", "decode")
+	t.Cleanup(store.Close)
+	t.Cleanup(engine.Close)
+	engine.SetBorn(time.Now().UnixMilli())
+	var orders atomic.Int64
+	engine.SetOnOrder(func() {
+		orders.Add(1)
+		engine.Restart("decode")
+		engine.SetBorn(time.Now().UnixMilli())
+	})
+	store.Put("plan/lm", planFor(engine, "prefill"))
+	startAgent(t, store, engine)
+	eventually(t, 5*time.Second, "ordered", func() bool { return orders.Load() > 0 })
+	time.Sleep(16 * time.Second)
+	if n := orders.Load(); n > 4 {
+		t.Errorf("the engine got %d orders that end it in 16 seconds, want four at most", n)
+	}
+	engine.SetOnOrder(nil)
+	store.Put("plan/lm", planFor(engine, "decode"))
+	time.Sleep(2 * noticeTimeout)
+	store.Put("plan/lm", planFor(engine, "prefill"))
+	eventually(t, 40*time.Second, "ordered again", func() bool { return engine.Stage() == "prefill" })
+}
+
 // TestOtherInstance has a plan with a command for another instance at the engine's address: the engine, which got
 // a new id when it restarted, accepts no order.
 func TestOtherInstance(t *testing.T) {
