--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -28,6 +28,7 @@
 
 // suspect is a request that was at an upstream when that closed its connection.
 type suspect struct {
+	route   string
 	digests []digest.Sum
 	tried   *digest.Sum   // The digest that a trial is of; nil for other requests.
 	prompt  blame.Suspect // Without parts if it isn't suspect as a prompt.
@@ -47,7 +48,7 @@
 	if u.isLeaving() {
 		return
 	}
-	s := suspect{digests: x.identity()}
+	s := suspect{route: x.route.Name, digests: x.identity()}
 	if x.trial != nil {
 		s.tried = &x.trial.of
 	}
@@ -101,11 +102,12 @@
 	g.meter.Count("upstream crashes")
 	var requests []digest.Sum
 	var tried *digest.Sum
+	route := "" // Of the request that was tried.
 	var prompts []blame.Suspect
 	for _, s := range b.suspects {
 		requests = append(requests, s.digests...)
 		if s.tried != nil {
-			tried = s.tried
+			tried, route = s.tried, s.route
 		}
 		if len(s.prompt.Parts) > 0 {
 			prompts = append(prompts, s.prompt)
@@ -114,7 +116,7 @@
 	isExplained := tried != nil || g.crashes.TrialAt(runOf(b.run))
 	hold := g.crashes.Crashed(runOf(b.run), beat.Key(b.run.Service), requests, tried)
 	suspects, held := g.crashes.Known()
-	g.log.Warn("upstream crashed", "upstream", b.run.ID, "service", b.run.Service, "requests", len(requests), "trial", tried != nil, "suspects", suspects, "held", held, "age", time.Since(b.at))
+	g.log.Warn("upstream crashed", "upstream", b.run.ID, "service", b.run.Service, "requests", len(b.suspects), "trial", tried != nil, "route", route, "at", digestNames(b.suspects), "suspects", suspects, "held", held, "age", time.Since(b.at))
 	if hold != nil {
 		g.logHolds([]crash.Hold{*hold}, "itself")
 	}
