--- a/core/report/status.go
+++ b/core/report/status.go
@@ -1,7 +1,5 @@
 package report
 
-import "pimentoseam/core/span"
-
 // Status lists the state of all processes as one entry last observed it.
 type Status struct {
 	Revision  int64            `json:"revision"`
@@ -41,10 +39,3 @@
 	Queued     int    `json:"queued"`
 	Slots      int    `json:"slots"`
 }
-
-// Held is a request that crashes upstreams and is held.
-type Held struct {
-	Request string    `json:"request"` // Its digest in hexadecimal.
-	Strikes int       `json:"strikes"` // Trials that have crashed an upstream.
-	Left    span.Span `json:"left"`    // The time until the next trial; 0 if it may be made.
-}
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"pimentoseam/core/crash"
 	"pimentoseam/core/event"
 	"pimentoseam/core/report"
 	"pimentoseam/io/limit"
@@ -94,17 +95,17 @@
 }
 
 // Held returns the requests that are held because they crash upstreams; its error is a *Error.
-func (c *Client) Held(ctx context.Context) ([]report.Held, error) {
+func (c *Client) Held(ctx context.Context) ([]crash.Summary, error) {
 	return c.held(ctx, http.MethodGet, "/admin/held")
 }
 
 // Lift clears a request that is held, given its digest, and returns the others; its error is a *Error.
-func (c *Client) Lift(ctx context.Context, request string) ([]report.Held, error) {
+func (c *Client) Lift(ctx context.Context, request string) ([]crash.Summary, error) {
 	return c.held(ctx, http.MethodPost, "/admin/lift/"+url.PathEscape(request))
 }
 
-func (c *Client) held(ctx context.Context, method, path string) ([]report.Held, error) {
-	var list []report.Held
+func (c *Client) held(ctx context.Context, method, path string) ([]crash.Summary, error) {
+	var list []crash.Summary
 	data, err := c.call(ctx, method, path, nil)
 	if err != nil {
 		return nil, err
--- a/io/oper/held.go
+++ b/io/oper/held.go
@@ -13,7 +13,6 @@
 
 	"pimentoseam/core/crash"
 	"pimentoseam/core/digest"
-	"pimentoseam/core/report"
 	"pimentoseam/io/store"
 	"pimentoseam/platform"
 )
@@ -52,7 +51,7 @@
 }
 
 // held lifts the hold that the flags name, if any, and returns the holds in force.
-func (c *heldCommand) held(ctx context.Context, o *Options) ([]report.Held, error) {
+func (c *heldCommand) held(ctx context.Context, o *Options) ([]crash.Summary, error) {
 	if c.store != "" {
 		return c.heldInStore(ctx)
 	}
@@ -67,7 +66,7 @@
 }
 
 // heldInStore is held for the store, from which the leader of the entries takes what is lifted.
-func (c *heldCommand) heldInStore(ctx context.Context) ([]report.Held, error) {
+func (c *heldCommand) heldInStore(ctx context.Context) ([]crash.Summary, error) {
 	addr, err := netip.ParseAddrPort(c.store)
 	if err != nil {
 		return nil, eris.Wrap(err, "--store")
--- /dev/null
+++ b/io/simop/crash.go
@@ -0,0 +1,93 @@
+package simop
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// crashDelay is the time from the start of a run, or from the head of its response, to the crash.
+const crashDelay = 40 * time.Millisecond
+
+// CrashStage is how far the response has come when a replica crashes.
+type CrashStage string
+
+// The stages of a response.
+const (
+	BeforeHead CrashStage = "before the head"
+	AfterHead  CrashStage = "after the head"
+	InsideBody CrashStage = "inside the body"
+)
+
+// Crash states which requests crash a replica, and when.
+type Crash struct {
+	Matches   func(req *http.Request, body string) bool
+	Stage     CrashStage
+	OnArrival func(id string) // Called with the attempt ID of each of these requests, prefills included.
+	OnCrash   func()          // Called once the replica has crashed.
+}
+
+// SetCrash makes the replica crash under some requests.
+func (r *Replica) SetCrash(c *Crash) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crash = c
+}
+
+// HasPart returns a function that matches prompts with a part.
+func HasPart(part string) func(req *http.Request, body string) bool {
+	return func(req *http.Request, _ string) bool {
+		return strings.Contains(req.Header.Get("X-Prompt-Prefix"), part)
+	}
+}
+
+// crashUnder returns the crash that a request causes, nil for none. A request whose prompt is only read causes none.
+func (r *Replica) crashUnder(req *http.Request) *Crash {
+	r.mu.Lock()
+	c := r.crash
+	r.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	body, _ := io.ReadAll(req.Body) // Fails only if the caller has disconnected.
+	req.Body = io.NopCloser(strings.NewReader(string(body)))
+	if !c.Matches(req, string(body)) {
+		return nil
+	}
+	c.OnArrival(req.Header.Get("X-Attempt-Id"))
+	if req.Header.Get("X-Stage") == "prefill" {
+		return nil
+	}
+	return c
+}
+
+// serveCrash runs a request and crashes.
+func (r *Replica) serveCrash(w http.ResponseWriter, req *http.Request, c *Crash) {
+	id := req.Header.Get("X-Attempt-Id")
+	r.mu.Lock()
+	r.runs[id]++
+	stage := r.stage
+	r.mu.Unlock()
+	w.Header().Set("X-Response-Seal", r.ID+"."+id)
+	if stage != "" {
+		w.Header().Set("Content-Type", "text/event-stream")
+	} else {
+		w.Header().Set("Content-Length", "100")
+	}
+	if c.Stage != BeforeHead {
+		w.WriteHeader(http.StatusOK)
+	}
+	if c.Stage == InsideBody {
+		_, _ = io.WriteString(w, "id: 1\ndata: "+r.ID+"\n\nid: 2") // Fails only if the caller has disconnected.
+	}
+	if c.Stage != BeforeHead {
+		_ = http.NewResponseController(w).Flush() // Fails as above.
+	}
+	time.Sleep(crashDelay)
+	go func() {
+		r.Crash()
+		c.OnCrash()
+	}()
+	panic(http.ErrAbortHandler)
+}
