--- a/io/gate/crashrequest_test.go
+++ b/io/gate/crashrequest_test.go
@@ -525,3 +525,32 @@
 	before := site.numCrashes()
 	eventually(t, 12*time.Second, "lifted", func() bool { bad.send(t, gates[1]); return site.numCrashes() > before })
 }
+
+// TestEntryThatHearsNothing guards against an entry that no other one reaches sending on a request that the others hold.
+func TestEntryThatHearsNothing(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	site := newCrashSite(t, &crashSite{store: store, service: "app", stages: plain(6), back: time.Second, crash: plainCrash("/once/bad", "x", simop.BeforeHead)})
+	first := startGate(t, store, "")
+	first.waitReady(t)
+	eventually(t, 5*time.Second, "registered", func() bool { return len(store.Value("entries/"+first.set.Name)) > 0 })
+	store.Remove("entries/" + first.set.Name) // The other entry doesn't learn of it, nor it of the other one.
+	alone := startGate(t, store, "")
+	alone.waitReady(t)
+	bad := &callerRequest{method: "POST", path: "/once/bad", body: "x"}
+	eventually(t, 30*time.Second, "held and stored", func() bool {
+		before := site.numCrashes()
+		status, _ := bad.send(t, first)
+		holds, _, err := crash.ParseHolds(store.Value(crash.StoreKey))
+		return status == http.StatusServiceUnavailable && site.numCrashes() == before && err == nil && len(holds) > 0 && holds[0].Sure > 1
+	})
+	before := site.numCrashes()
+	for range 20 {
+		bad.send(t, alone)
+		time.Sleep(200 * time.Millisecond)
+	}
+	if n := site.numCrashes() - before; n > allowedAfter {
+		t.Errorf("%d upstreams ended under requests that came to the other entry, want %d at most", n, allowedAfter)
+	}
+}
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -105,7 +105,8 @@
 // relayedReplica is a replica of the app service with the relay that gates connect to it through.
 type relayedReplica struct {
 	*simop.Replica
-	relay *simnet.Relay
+	relay    *simnet.Relay
+	hasEnded bool // It has crashed under a request.
 }
 
 // callResult is the result of one request as seen by its caller.
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -110,10 +110,11 @@
 func (c *soakCluster) restartApp(r *simop.Replica) {
 	c.mu.Lock()
 	i := slices.IndexFunc(c.apps, func(a *relayedReplica) bool { return a.Replica == r })
-	if i < 0 || c.stopped {
+	if i < 0 || c.apps[i].hasEnded || c.stopped {
 		c.mu.Unlock()
 		return // It was removed or has ended already.
 	}
+	c.apps[i].hasEnded = true
 	relay := c.apps[i].relay
 	c.appCrashes = append(c.appCrashes, time.Now())
 	c.mu.Unlock()
