gate: a beat that has nothing newer doesn't take the place of an alert that has

Its log: the entry that relies on its peer fetched the new configuration after 0.1 s and the newer list after 4.4 s. Callers of such an entry would be sent to upstreams that have left.

A beat states revisions without the era, so that it isn't newer once the store has come back from a copy; alerts, which are, came while such a beat was queued and were dropped. It takes a configuration and a list that change together.

--- a/io/gate/beats.go
+++ b/io/gate/beats.go
@@ -158,10 +158,11 @@
 	g.mu.Lock()
 	g.newest.config = max(g.newest.config, b.ConfigVersion)
 	g.newest.members = max(g.newest.members, b.MembersRevision)
-	behind := g.updateBehind()
+	g.updateBehind()
+	isNewer := b.ConfigVersion > g.version() || b.MembersRevision > g.storeList.Revision
 	g.mu.Unlock()
-	if !behind {
-		return
+	if !isNewer {
+		return // It would take the place of one that is.
 	}
 	select {
 	case g.newerBeats <- b:
