crash: an answer ends a hold whatever the delay of reports

Cause: a hold and the answer that ends it were compared by their times, which each entry works out from an age; every entry that passes a report on makes it look younger by the time that takes. A hold that came around several entries looked younger than the answer, and was taken up again, by one entry after the other.

Change: answers to a request are counted. A hold states the count before its trials, an answer the next one, and the greater one holds.

--- a/core/alert/alert_test.go
+++ b/core/alert/alert_test.go
@@ -71,7 +71,7 @@
 }
 
 // goldenCrashes is an alert with a request that is held as this version encodes it.
-const goldenCrashes = "a301616502600ba10381a401480100000000000000020203010405"
+const goldenCrashes = "a301616502600ba10381a5014801000000000000000202030104050500"
 
 // TestGoldenCrashes is TestGolden for requests that were at crashes.
 func TestGoldenCrashes(t *testing.T) {
--- a/core/crash/book.go
+++ b/core/crash/book.go
@@ -74,6 +74,7 @@
 type answer struct {
 	at   time.Time
 	told time.Time // When it became known, or another entry turned out not to know it.
+	turn uint32    // Rises with each answer, so that no clock and no delay decides whether a hold is older.
 }
 
 // hold is the consequence of trials that crashed upstreams.
@@ -81,6 +82,7 @@
 	strikes int       // Trials that failed since the last answer.
 	sure    int       // Those of them that nothing but the request explains.
 	last    time.Time // The last one.
+	turn    uint32    // That of the last answer before them.
 }
 
 // trial is a run of a suspect alone.
@@ -232,7 +234,7 @@
 	wasKnown := false
 	for _, d := range list {
 		if b.counts[d] > 0 || b.holds[d] != nil {
-			b.answer(d, time.Now())
+			b.answer(d, time.Now(), b.nextTurn(d))
 			wasKnown = true
 		}
 	}
@@ -249,11 +251,28 @@
 	if b.counts[d] == 0 && b.holds[d] == nil {
 		return false
 	}
-	b.answer(d, time.Now())
+	b.answer(d, time.Now(), b.nextTurn(d))
 	b.update()
 	return true
 }
 
+// turn returns the turn of the last known answer to a request.
+func (b *Book) turn(d digest.Sum) uint32 {
+	if a := b.answers[d]; a != nil {
+		return a.turn
+	}
+	return 0
+}
+
+// nextTurn returns the turn of an answer that ends what is known of a request.
+func (b *Book) nextTurn(d digest.Sum) uint32 {
+	turn := b.turn(d)
+	if h := b.holds[d]; h != nil {
+		turn = max(turn, h.turn)
+	}
+	return turn + 1
+}
+
 // Crashed records that a run of an upstream has crashed under some requests of this entry, given the digests of all of them.
 // tried is the digest that a trial there was of, nil for none. It returns the hold that follows, nil for none.
 func (b *Book) Crashed(run leave.Run, service uint32, requests []digest.Sum, tried *digest.Sum) *Hold {
@@ -280,7 +299,7 @@
 	}
 	h := b.holds[*tried]
 	if h == nil {
-		h = &hold{}
+		h = &hold{turn: b.turn(*tried)}
 	}
 	if b.isSure(*tried, service) {
 		h.sure++
@@ -367,17 +386,17 @@
 	b.holds[d] = h
 }
 
-// answer records an answer to a request and ends its hold if that is older. It reports whether the answer is news.
-func (b *Book) answer(d digest.Sum, at time.Time) bool {
-	if a := b.answers[d]; a != nil && !at.After(a.at) {
+// answer records an answer to a request and ends its hold if that is of an earlier turn. It reports whether the answer is news.
+func (b *Book) answer(d digest.Sum, at time.Time, turn uint32) bool {
+	if a := b.answers[d]; a != nil && turn <= a.turn {
 		return false
 	}
 	if b.answers[d] == nil && len(b.answers) >= maxAnswers {
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(b.answers)), func(a, o digest.Sum) int { return b.answers[a].at.Compare(b.answers[o].at) })
 		delete(b.answers, oldest)
 	}
-	b.answers[d] = &answer{at: at, told: time.Now()}
-	if h := b.holds[d]; h != nil && h.last.Before(at) {
+	b.answers[d] = &answer{at: at, told: time.Now(), turn: turn}
+	if h := b.holds[d]; h != nil && h.turn < turn {
 		delete(b.holds, d)
 	}
 	return true
--- a/core/crash/book_test.go
+++ b/core/crash/book_test.go
@@ -134,6 +134,48 @@
 	})
 }
 
+// TestClearedStaysCleared guards against a hold that comes back after an answer because each entry that passes it on makes it look
+// younger by the time that its report takes.
+func TestClearedStaysCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := runs(0)
+		books := make([]*crash.Book, 8)
+		for i := range books {
+			books[i] = crash.New()
+		}
+		share := func() {
+			for i, b := range books {
+				r := b.Report()
+				time.Sleep(30 * time.Millisecond)
+				for k := range 3 {
+					books[(i+1+k)%len(books)].Merge(r)
+				}
+			}
+		}
+		for range 2 {
+			books[0].Crashed(n.next(), app, []digest.Sum{popular}, nil)
+		}
+		share() // All know that it is suspect.
+		try(t, books[0], popular, n.next())
+		time.Sleep(5 * time.Millisecond)
+		books[3].Answered(app, func() []digest.Sum { return []digest.Sum{popular} }) // It had been sent before.
+		for i := range 2 {
+			r := books[i].Report()
+			time.Sleep(30 * time.Millisecond)
+			books[i+1].Merge(r)
+		}
+		for range 20 {
+			share()
+		}
+		for _, b := range books {
+			state(t, b, popular, crash.Free)
+			if holds := b.Holds(); len(holds) > 0 {
+				t.Errorf("holds %v after an answer", holds)
+			}
+		}
+	})
+}
+
 // TestOneTrial checks that of two entries that announce a trial of one request one makes it, that others stay away from its
 // upstream, that the requests which broke off beside it aren't accused, and that the next one may follow as soon as it has ended.
 func TestOneTrial(t *testing.T) {
@@ -340,17 +382,17 @@
 // TestStored checks the form in the store, and that bad values are errors.
 func TestStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const golden = `[{"request":"61c9b2b17db77a27","strikes":2,"sure":1,"since":946684800000},{"request":"61c9b2b17db77a27","strikes":0,"sure":0,"since":946684800000,"lifted":true}]`
+		const golden = `[{"request":"61c9b2b17db77a27","strikes":2,"sure":1,"turn":3,"since":946684800000},{"request":"61c9b2b17db77a27","strikes":0,"sure":0,"turn":0,"since":946684800000,"lifted":true}]`
 		var d digest.Sum
 		if err := d.UnmarshalText([]byte("61c9b2b17db77a27")); err != nil {
 			t.Fatal(err)
 		}
-		if got := string(crash.EncodeHolds([]crash.Hold{{Request: d, Strikes: 2, Sure: 1}}, []digest.Sum{d})); got != golden {
+		if got := string(crash.EncodeHolds([]crash.Hold{{Request: d, Strikes: 2, Sure: 1, Turn: 3}}, []digest.Sum{d})); got != golden {
 			t.Errorf("got %s, want %s", got, golden)
 		}
 		time.Sleep(time.Second)
 		holds, lifted, err := crash.ParseHolds([]byte(golden))
-		if err != nil || len(holds) != 1 || holds[0] != (crash.Hold{Request: d, Strikes: 2, Sure: 1, Age: 1000}) || len(lifted) != 1 || lifted[0] != d {
+		if err != nil || len(holds) != 1 || holds[0] != (crash.Hold{Request: d, Strikes: 2, Sure: 1, Age: 1000, Turn: 3}) || len(lifted) != 1 || lifted[0] != d {
 			t.Errorf("got %v, %v, %v", holds, lifted, err)
 		}
 		if holds, _, err := crash.ParseHolds(nil); err != nil || len(holds) > 0 {
@@ -381,7 +423,7 @@
 		}
 		r.Crashes = r.Crashes[:1]
 		data, err := cbor.Marshal(r)
-		const golden = "a40181a501820301021903e8030704814820f13bc0510c161505f50381a4014820f13bc0510c161502010301041903e80481a5014820f13bc0510c1615020103820301041903e805f50581a20107021903e8"
+		const golden = "a40181a501820301021903e8030704814820f13bc0510c161505f50381a5014820f13bc0510c161502010301041903e805000481a5014820f13bc0510c1615020103820301041903e805f50581a20107021903e8"
 		if got := hex.EncodeToString(data); err != nil || got != golden {
 			t.Errorf("got %s, %v, want %s", got, err, golden)
 		}
--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -43,6 +43,7 @@
 type answerNote struct {
 	Request digest.Sum `cbor:"1,keyasint"`
 	Age     uint32     `cbor:"2,keyasint"` // Milliseconds since the answer.
+	Turn    uint32     `cbor:"3,keyasint"` // Rises with each answer to the request.
 }
 
 // Hold is a request of which trials have failed.
@@ -51,6 +52,7 @@
 	Strikes uint32     `cbor:"2,keyasint"` // Trials that have crashed an upstream.
 	Sure    uint32     `cbor:"3,keyasint"` // Those that nothing else explains.
 	Age     uint32     `cbor:"4,keyasint"` // Milliseconds since the last one.
+	Turn    uint32     `cbor:"5,keyasint"` // That of the last answer before them; a later answer ends the hold.
 }
 
 // trialNote is a trial in progress, or one that has just ended.
@@ -80,7 +82,7 @@
 
 // report returns the hold for other entries.
 func (h *hold) report(d digest.Sum) *Hold {
-	return &Hold{Request: d, Strikes: uint32(h.strikes), Sure: uint32(h.sure), Age: ageOf(h.last)}
+	return &Hold{Request: d, Strikes: uint32(h.strikes), Sure: uint32(h.sure), Age: ageOf(h.last), Turn: h.turn}
 }
 
 // Holds returns the requests of which trials have failed, the latest first.
@@ -119,7 +121,7 @@
 	}
 	for d, a := range b.answers {
 		if time.Since(a.told) < reportTTL {
-			r.Answers = append(r.Answers, answerNote{Request: d, Age: ageOf(a.at)})
+			r.Answers = append(r.Answers, answerNote{Request: d, Age: ageOf(a.at), Turn: a.turn})
 		}
 	}
 	slices.SortFunc(r.Answers, func(a, o answerNote) int { return compareAge(a.Age, o.Age) })
@@ -180,7 +182,7 @@
 	isNew := false
 	for _, a := range r.Answers {
 		wasSuspect := b.counts[a.Request] >= suspectCrashes || b.holds[a.Request] != nil
-		if time.Duration(a.Age)*time.Millisecond < evidenceTTL && b.answer(a.Request, timeOf(a.Age)) {
+		if time.Duration(a.Age)*time.Millisecond < evidenceTTL && b.answer(a.Request, timeOf(a.Age), a.Turn) {
 			isNew, changed = true, changed || wasSuspect
 		}
 	}
@@ -213,15 +215,18 @@
 	if h.Strikes == 0 || time.Since(last) >= holdTTL {
 		return false
 	}
-	if a := b.answers[h.Request]; a != nil && a.at.After(last) {
+	if a := b.answers[h.Request]; a != nil && a.turn > h.Turn {
 		a.told = time.Now() // The other entry doesn't know it.
 		return false
 	}
 	known := b.holds[h.Request]
-	if known == nil {
-		b.addHold(h.Request, &hold{strikes: int(h.Strikes), sure: int(h.Sure), last: last})
+	if known == nil || known.turn < h.Turn {
+		b.addHold(h.Request, &hold{strikes: int(h.Strikes), sure: int(h.Sure), last: last, turn: h.Turn})
 		return true
 	}
+	if known.turn > h.Turn {
+		return false
+	}
 	isNews := int(h.Strikes) > known.strikes || int(h.Sure) > known.sure
 	known.strikes, known.sure = max(known.strikes, int(h.Strikes)), max(known.sure, int(h.Sure))
 	if isNews && last.After(known.last) {
--- a/core/crash/stored.go
+++ b/core/crash/stored.go
@@ -15,6 +15,7 @@
 	Request digest.Sum `json:"request"` // In hexadecimal.
 	Strikes uint32     `json:"strikes"`
 	Sure    uint32     `json:"sure"`
+	Turn    uint32     `json:"turn"`
 	Since   int64      `json:"since"`            // When the last trial failed, in Unix milliseconds.
 	Lifted  bool       `json:"lifted,omitempty"` // An operator has cleared the request.
 }
@@ -38,7 +39,7 @@
 func EncodeHolds(holds []Hold, lifted []digest.Sum) []byte {
 	list := make([]storedHold, 0, len(holds)+len(lifted))
 	for _, h := range holds {
-		list = append(list, storedHold{Request: h.Request, Strikes: h.Strikes, Sure: h.Sure, Since: timeOf(h.Age).UnixMilli()})
+		list = append(list, storedHold{Request: h.Request, Strikes: h.Strikes, Sure: h.Sure, Turn: h.Turn, Since: timeOf(h.Age).UnixMilli()})
 	}
 	for _, d := range lifted {
 		list = append(list, storedHold{Request: d, Lifted: true, Since: time.Now().UnixMilli()})
@@ -64,7 +65,7 @@
 			lifted = append(lifted, s.Request)
 			continue
 		}
-		holds = append(holds, Hold{Request: s.Request, Strikes: s.Strikes, Sure: s.Sure, Age: ageOf(time.UnixMilli(s.Since))})
+		holds = append(holds, Hold{Request: s.Request, Strikes: s.Strikes, Sure: s.Sure, Turn: s.Turn, Age: ageOf(time.UnixMilli(s.Since))})
 	}
 	return holds, lifted, nil
 }
--- a/core/frame/golden_test.go
+++ b/core/frame/golden_test.go
@@ -65,7 +65,7 @@
 		},
 		{
 			&frame.Beat{Name: "n", Period: time.Minute, Crashes: &crash.Report{Holds: []crash.Hold{{Request: digest.Sum{1}, Strikes: 2, Sure: 1, Age: 5}}}},
-			"a105a4010002616e131b0000000df847580017a10381a401480100000000000000020203010405",
+			"a105a4010002616e131b0000000df847580017a10381a5014801000000000000000202030104050500",
 		},
 	}
 	for _, test := range tests {
