--- a/io/gate/behind_test.go
+++ b/io/gate/behind_test.go
@@ -25,6 +25,9 @@
 		added := newReplica(t, fmt.Sprintf("i-%d", 10+i), "app", "")
 		store.Put("op/config", config(2+i, 3000)) // Newer, too.
 		store.Put("servers/"+added.ID, added.Registration("ready"))
+		if i > 0 {
+			store.Remove(fmt.Sprintf("servers/i-%d", 9+i)) // So that few others take its requests.
+		}
 		eventually(t, 1600*time.Millisecond, h.set.Name+" using replica "+added.ID, func() bool { return served(t, h, "/plain/x") == added.ID })
 	}
 }
