--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -20,8 +20,8 @@
 	done  chan struct{}
 }
 
-// WatchMemory kills a process when its memory exceeds limit KiB, as the platform does, and starts it again after a short
-// delay. Only private memory counts, which is less than what the process has resident.
+// WatchMemory kills a process when its resident memory exceeds limit KiB, as the platform does, and starts it again after a
+// short delay. The platform also counts bytes that were received and not yet read; they are left out here.
 func (r *Rig) WatchMemory(p *Proc, limit int64) *Watch {
 	w := &Watch{stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
@@ -32,7 +32,7 @@
 				return
 			case <-time.After(2 * time.Millisecond):
 			}
-			kib := privateMemory(p.Pid())
+			kib := residentMemory(p.Pid())
 			if kib > w.Peak.Load() {
 				w.Peak.Store(kib)
 			}
@@ -40,7 +40,7 @@
 				continue
 			}
 			w.Kills.Add(1)
-			r.Note("platform kills %s: %d KiB of private memory, limit %d KiB", p.Name, kib, limit)
+			r.Note("platform kills %s: %d KiB of memory, limit %d KiB", p.Name, kib, limit)
 			_ = p.cmd.Process.Signal(syscall.SIGKILL)
 			<-p.done
 			time.Sleep(500 * time.Millisecond)
@@ -59,14 +59,14 @@
 	<-w.done
 }
 
-// privateMemory returns the private resident memory of a process in KiB, 0 if it can't be read.
-func privateMemory(pid int) int64 {
+// residentMemory returns the resident memory of a process in KiB, 0 if it can't be read.
+func residentMemory(pid int) int64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
 			kib, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
 			return kib
 		}
