--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -15,14 +15,22 @@
 	"time"
 )
 
-// Engine is a stand-in of a model replica that crashes as soon as it begins to write an answer on one part of a prompt. Its
+// Prompts states how an engine treats prompts with one part.
+type Prompts struct {
+	Bad     string
+	Crashes bool          // The engine crashes when it begins to write an answer on the part.
+	Read    time.Duration // How long it reads such a prompt.
+	First   int           // Events that it has written when it crashes.
+}
+
+// Engine is a stand-in of a model replica that may crash when it begins to write an answer on one part of a prompt. Its
 // address then refuses connections, and it is back under its id some time later.
 type Engine struct {
 	ID   string
 	Addr netip.AddrPort
 
 	rig     *Rig
-	part    string // The part that crashes it; empty for none.
+	prompts *Prompts
 	down    time.Duration
 	events  int
 	gap     time.Duration
@@ -37,14 +45,14 @@
 }
 
 // StartEngine starts an engine and registers it in the store.
-func (r *Rig) StartEngine(id, part string, down time.Duration, events int, gap time.Duration, onCrash func(at time.Time)) (*Engine, error) {
+func (r *Rig) StartEngine(id string, prompts *Prompts, down time.Duration, events int, gap time.Duration, onCrash func(at time.Time)) (*Engine, error) {
 	host := NewHost()
 	port, err := freePort(host)
 	if err != nil {
 		return nil, err
 	}
 	e := &Engine{
-		ID: id, Addr: netip.AddrPortFrom(host, port), rig: r, part: part, down: down, events: events, gap: gap, onCrash: onCrash,
+		ID: id, Addr: netip.AddrPortFrom(host, port), rig: r, prompts: prompts, down: down, events: events, gap: gap, onCrash: onCrash,
 		arrivals: make(map[string]time.Time), begun: make(map[string]time.Time),
 	}
 	return e, e.start()
@@ -150,14 +158,27 @@
 		return
 	}
 	req.Body = io.NopCloser(bytes.NewReader(body))
-	time.Sleep(20 * time.Millisecond) // The prompt is read.
-	if e.part != "" {
-		for entry := range strings.SplitSeq(req.Header.Get("X-Prompt-Prefix"), ",") {
-			if name, _, _ := strings.Cut(entry, ":"); name == e.part {
-				e.crash(id)
-				panic(http.ErrAbortHandler)
-			}
-		}
+	isBad := false
+	for entry := range strings.SplitSeq(req.Header.Get("X-Prompt-Prefix"), ",") {
+		name, _, _ := strings.Cut(entry, ":")
+		isBad = isBad || name == e.prompts.Bad
+	}
+	read := 20 * time.Millisecond
+	if isBad {
+		read = e.prompts.Read
+	}
+	select {
+	case <-time.After(read):
+	case <-req.Context().Done():
+		return // The caller has left, or the engine has crashed.
+	}
+	crashAfter := -1
+	if isBad && e.prompts.Crashes {
+		crashAfter = e.prompts.First
+	}
+	if crashAfter == 0 {
+		e.crash(id)
+		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Response-Seal", "3e1b."+e.ID+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -174,6 +195,11 @@
 			e.begun[id] = time.Now()
 		}
 		e.mu.Unlock()
+		if crashAfter > 0 && i >= after+crashAfter {
+			time.Sleep(5 * time.Millisecond) // The events are on their way.
+			e.crash(id)
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case <-time.After(e.gap):
 		case <-req.Context().Done():
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// Reset ends all processes and starts with an empty store.
+func (r *Rig) Reset() {
+	for _, p := range r.procs {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	r.procs = nil
+	r.Store.Close()
+	r.Store = simop.NewStore()
+}
+
 // NewHost returns a loopback address that nothing else uses.
 func NewHost() netip.Addr {
 	return netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(rand.N(250)), byte(1 + rand.N(250))})
