--- a/review/rig/app.go
+++ b/review/rig/app.go
@@ -172,22 +172,3 @@
 		fmt.Fprintf(w, "%s done", req.Header.Get("X-Attempt-Id"))
 	}
 }
-
-// Events returns what an engine does: it sends n events, one each gap, from the one after Last-Event-Id.
-func Events(n int, gap time.Duration) func(w http.ResponseWriter, req *http.Request) {
-	return func(w http.ResponseWriter, req *http.Request) {
-		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set("X-Weight-Versions", "1")
-		control := http.NewResponseController(w)
-		after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-		for i := after + 1; i <= n; i++ {
-			fmt.Fprintf(w, "id: %d\ndata: %s piece %d of %d\n\n", i, req.Header.Get("X-Attempt-Id"), i, n)
-			_ = control.Flush()
-			select {
-			case <-time.After(gap):
-			case <-req.Context().Done():
-				panic(http.ErrAbortHandler)
-			}
-		}
-	}
-}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"pimentoseam/io/simop"
@@ -153,16 +152,6 @@
 // Seed returns the address at which other gates find this one.
 func (r *Rig) Seed(p *Proc) string { return netip.AddrPortFrom(p.IP, 7380).String() }
 
-// StartTend starts the agent beside an engine.
-func (r *Rig) StartTend(name, service string, engine netip.AddrPort) (*Proc, error) {
-	fields := map[string]any{
-		"node": name, "app": engine.String(), "service": service, "ip": engine.Addr().String(), "portRange": []any{7380, 7395},
-		"provider": map[string]any{"address": r.Store.Addr().String()},
-	}
-	p := &Proc{Name: name, IP: engine.Addr()}
-	return p, r.start(p, "tend", "deploy/tend.json", fields)
-}
-
 func toAny(list []string) []any {
 	var out []any
 	for _, s := range list {
@@ -223,22 +212,6 @@
 	return r.launch(p)
 }
 
-// Signal sends a signal to a process.
-func (r *Rig) Signal(p *Proc, s syscall.Signal) error {
-	r.Note("%s is sent to %s", s, p.Name)
-	return p.cmd.Process.Signal(s)
-}
-
-// Ended reports whether a process has ended within d.
-func (p *Proc) Ended(d time.Duration) bool {
-	select {
-	case <-p.done:
-		return true
-	case <-time.After(d):
-		return false
-	}
-}
-
 // IsReady reports whether the readiness probe of a gate passes.
 func (p *Proc) IsReady() bool {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
