--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -79,17 +79,38 @@
 	return true
 }
 
+// Usage is the state of a Budget in the window that ends now.
+type Usage struct {
+	Requests int
+	Retries  int
+	Allowed  float64 // Retries that the window allows for this entry.
+	Entries  int     // Number of entries that divide the slack.
+}
+
+// Usage returns the present state.
+func (b *Budget) Usage() Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(b.current())
+}
+
 // hasRetry reports whether the window that ends with the current bucket has a retry left.
 func (b *Budget) hasRetry(current *bucket) bool {
-	requests, retries := 0, 0
+	u := b.usage(current)
+	return float64(u.Retries+1) <= u.Allowed
+}
+
+// usage returns the state in the window that ends with the current bucket.
+func (b *Budget) usage(current *bucket) Usage {
+	u := Usage{Entries: b.entries}
 	for _, k := range b.buckets {
 		if k.index > current.index-int64(len(b.buckets)) {
-			requests += k.requests
-			retries += k.retries
+			u.Requests += k.requests
+			u.Retries += k.retries
 		}
 	}
-	allowed := (b.ratio*float64(requests) + b.slack/float64(b.entries)) * (1 - safetyMargin)
-	return float64(retries+1) <= allowed
+	u.Allowed = (b.ratio*float64(u.Requests) + b.slack/float64(b.entries)) * (1 - safetyMargin)
+	return u
 }
 
 // current returns the bucket of the current time, emptied if it held an older one.
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -18,6 +18,7 @@
 	"pimentoseam/core/mean"
 	"pimentoseam/core/member"
 	"pimentoseam/core/outage"
+	"pimentoseam/core/repeat"
 	"pimentoseam/core/route"
 	"pimentoseam/io/client"
 	"pimentoseam/io/proc"
@@ -69,6 +70,8 @@
 	sent         bool               // An upstream has received the request; further attempts are retries.
 	prefillSent  bool               // An engine has received a prefill request; further ones are retries.
 	delivered    int                // Number of attempts that reached an upstream.
+	account      repeat.Account     // Of the calls that reached upstreams.
+	cause        repeat.Cause       // What ended the last call.
 	possibleRuns int                // Number of attempts that may have run.
 	rejections   int                // Number of attempts that an upstream or its circuit breaker rejected, or that failed in prefill.
 	tried        map[*upstream]bool // Upstreams that must not be tried again.
@@ -365,15 +368,17 @@
 		Header: platform.RequestHeader(x.r.Header, dispatch), Matches: x.matches,
 	}, limit)
 	if err != nil {
-		return nil, x.handleError(ctx, u, info, err)
+		return nil, x.handleError(ctx, u, info, dispatch, err)
 	}
 	x.delivered++
 	u.lastReceived.Store(proc.Uptime())
 	reply := platform.ReadReply(resp.StatusCode, resp.Header)
+	x.recordArrival(dispatch, isAccepted(resp.StatusCode, reply))
 	x.gate.observe(u, reply, x.sentAt)
 	u.liveness.Observe(alive.Answer{Instance: reply.Instance, Opened: resp.Opened(), Sent: x.sentAt})
 	if reply.NotRun {
 		x.rejections++
+		x.cause = repeat.Rejected
 		x.health.Success()
 		if reply.Instance != "" && reply.Instance != info.ID {
 			u.replaced.Store(true)
@@ -427,7 +432,7 @@
 }
 
 // handleError updates the counters and the circuit breaker after a failed attempt and returns its outcome.
-func (x *exchange) handleError(ctx context.Context, u *upstream, run *member.Upstream, err error) result {
+func (x *exchange) handleError(ctx context.Context, u *upstream, run *member.Upstream, dispatch *call.Dispatch, err error) result {
 	id := run.ID
 	x.gate.log.Warn("request to upstream failed", "id", x.call.ID, "request", x.identity(), "upstream", id, "parts", x.call.PartNames(), "err", err, "took", time.Since(x.arrived))
 	var target *client.NoResponse
@@ -435,6 +440,8 @@
 	if noResponse {
 		x.delivered++
 		x.possibleRuns++
+		x.recordArrival(dispatch, false)
+		x.cause = repeat.NoResponse
 	}
 	if ctx.Err() != nil {
 		return abandoned
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -12,6 +12,7 @@
 	"pimentoseam/core/curve"
 	"pimentoseam/core/member"
 	"pimentoseam/core/place"
+	"pimentoseam/core/repeat"
 	"pimentoseam/core/route"
 	"pimentoseam/core/shed"
 	"pimentoseam/io/client"
@@ -359,6 +360,7 @@
 	}
 	x.gate.log.Warn("engine stalled", "id", x.call.ID, "upstream", id, "events", x.events, "took", time.Since(began))
 	u.breaker.Trip()
+	x.cause = repeat.Stalled
 	return true
 }
 
@@ -395,6 +397,7 @@
 	}
 	defer resp.Close()
 	x.delivered = delivered // A successful prefill doesn't count as an attempt.
+	x.cause = repeat.Prompt
 	body, err := resp.ReadAll(maxHandleBytes)
 	if err == nil {
 		var handle call.Handle
@@ -405,6 +408,7 @@
 			return handle, done
 		}
 	}
+	x.cause = repeat.Unusable
 	x.gate.log.Warn("prompt not processed", "id", x.call.ID, "upstream", choice.Prefill.ID, "status", resp.StatusCode, "err", err)
 	x.tried[prefillEngine] = true
 	if ctx.Err() != nil {
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pimentoseam/core/pace"
+	"pimentoseam/core/repeat"
 	"pimentoseam/core/route"
 	"pimentoseam/core/stream"
 	"pimentoseam/io/client"
@@ -22,6 +23,7 @@
 		x.countBegun(resp)
 	}
 	x.prepareEnd(ctx, u, resp)
+	x.cause = repeat.Incomplete
 	if x.isStream(resp) {
 		return x.relayStream(ctx, u, resp)
 	}
@@ -39,6 +41,7 @@
 // end the stream as if that were complete.
 func (x *exchange) rejectContinuation(u *upstream, resp *client.Response) result {
 	x.possibleRuns++
+	x.cause = repeat.Unusable
 	x.health.Failure()
 	x.gate.log.Warn("stream not continued", "id", x.call.ID, "upstream", u.info.Load().ID, "status", resp.StatusCode, "events", x.events)
 	return maybeRun
@@ -50,6 +53,7 @@
 func (x *exchange) relayBody(ctx context.Context, u *upstream, resp *client.Response) result {
 	x.possibleRuns++
 	if x.isUnusable(ctx, u, resp) {
+		x.cause = repeat.Unusable
 		x.discardBody(resp)
 		return maybeRun
 	}
