--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -100,6 +100,7 @@
 	stopped    bool                           // No engine is started again.
 	disturbed  []disturbance                  // By gate.
 	limiting   sync.WaitGroup                 // The replicas that name limits.
+	repeats    repeatTally
 }
 
 // relayedReplica is a replica of the app service with the relay that gates connect to it through.
@@ -119,7 +120,7 @@
 }
 
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
-// requests of unsafe routes run at most once, and not at all if they were rejected; responses are complete; no gate
+// requests of unsafe routes run at most once, and not at all if they were rejected; repeats stay within their budget; responses are complete; no gate
 // returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines and requests that crash plain upstreams, which odd seeds send, soon reach none; and
 // requests are served again soon after the last fault. The environment
 // variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
@@ -244,6 +245,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(relay.Close)
+		set.RetrySlack = repeatSlack
 		set.Name, set.Zone, set.Store = fmt.Sprintf("gate-%d", i), []string{"east", "west"}[i%2], relay.Addr()
 		// Each gate has an IP address of its own. Otherwise an outgoing connection of another process could take
 		// one of its ports while it is down.
@@ -476,13 +478,14 @@
 		version := c.version.Load()
 		result := callResult{id: id, at: time.Now()}
 		var path string
+		service := "app"
 		switch random.IntN(4) {
 		case 0, 1:
 			path, result.unsafe = "/once/x", true
 		case 2:
 			path = fmt.Sprintf("/gen%d/x", version)
 		case 3:
-			path = "/model/x"
+			path, service = "/model/x", "lm"
 			if random.IntN(2) == 0 {
 				path, result.unsafe = "/fixed/x", true
 			}
@@ -507,6 +510,7 @@
 			req.Header.Set("X-Prompt-Prefix", "aa:500,"+crashPart+":4800,cc:6700")
 		}
 		req.Header.Set("X-Deadline-Remaining-Ms", "5000")
+		c.repeats.send(service)
 		if resp, err := client.Do(req); err == nil {
 			result.status = c.checkResponse(resp, id, path)
 		}
@@ -620,6 +624,7 @@
 	if 4*servedCalls < 3*afterRecovery || afterRecovery == 0 {
 		c.t.Errorf("%d of %d calls served from %v after the last fault, want three quarters at least", servedCalls, afterRecovery, recoveredAt.Sub(faultsEndedAt))
 	}
+	c.repeats.check(c.t, retryRatio, repeatSlack)
 	c.mu.Lock()
 	if len(c.late) > allowedAfter {
 		c.t.Errorf("%d requests with a part that crashes engines were sent later than %v after the fifth of %d crashes, want %d at most: %v", len(c.late), contactTime, len(c.crashes), allowedAfter, c.late)
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -40,7 +40,7 @@
 		_ = l.Close() // Nothing has connected.
 		return nil
 	}
-	e := simop.NewReplica(fmt.Sprintf("e-%d-%d", slot, len(c.replicas)), "lm", stage, simop.WithListener(l))
+	e := simop.NewReplica(fmt.Sprintf("e-%d-%d", slot, len(c.replicas)), "lm", stage, simop.WithListener(l), simop.WithArrivals(c.repeats.arrive("lm")))
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(streamEvents, 15*time.Millisecond, 0)
 	if c.hasCrashes {
@@ -84,7 +84,7 @@
 
 // startApp starts a replica of the app service, under an id that it may have had before; its caller registers it.
 func (c *soakCluster) startApp(id string, l net.Listener) *simop.Replica {
-	r := simop.NewReplica(id, "app", "", simop.WithListener(l))
+	r := simop.NewReplica(id, "app", "", simop.WithListener(l), simop.WithArrivals(c.repeats.arrive("app")))
 	r.SetBorn(time.Now().UnixMilli())
 	if c.hasCrashes {
 		r.SetCrash(&simop.Crash{
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -39,6 +39,7 @@
 	healthChecks   int               // Number of health checks.
 	turnedAway     int               // Number of calls that were turned away.
 	onCall         func(id string)   // Called with the attempt ID of each call, empty if it has none.
+	onArrival      func(*Arrival)    // Called with each request or prompt once it is answered.
 	limit          string            // Unless empty, every answer names this limit.
 	busy           bool              // Its report says that an order is in progress.
 	conns          map[net.Conn]bool // The open connections.
@@ -279,6 +280,8 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	w, done := r.observe(w, req)
+	defer done()
 	r.mu.Lock()
 	handler, leaving, retryAfter, limit := r.handler, r.leaving, r.retryAfter, r.limit
 	r.arrivals = append(r.arrivals, time.Now())
