budget: the limit of retries holds over any number of restarts

Cause: an entry limits its retries by what it has sent itself in the window. A process that starts knows nothing of the one before it, at once has a whole share of the slack, and a window has the retries of both. Class: a limit over time that is kept in the memory of a process.

Change: half of the budget is earned, in a bucket that starts empty, is filled by requests only and holds a share of the slack at most; the other half, the sliding window, stays closed until a window has passed since the start of the process, when retries of the one before are out of it. Weighed: a start with the ratio of its own requests (a window can have the retries of two windows of requests), nothing at all for a window (callers lose every retry after a calm restart), counts handed over by peers (nobody remembers when all are killed), a larger margin (no bound on the number of restarts). Cost: 10 s after a start, half of the retries.

TestRepeatsOverRestarts now has a calm window first.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +34,7 @@
 					sent++
 				}
 				for range 5 {
-					if b.AllowRetry() {
+					if b.TakeRetry() != nil {
 						retried++
 					}
 				}
@@ -56,3 +57,123 @@
 		}
 	})
 }
+
+// TestRestarts guards against retries beyond the limit in a window in which processes end and others take their places.
+func TestRestarts(t *testing.T) {
+	const (
+		ratio, slack = 0.2, 56.0
+		window       = 10 * time.Second
+		step         = 50 * time.Millisecond
+		entries      = 4
+	)
+	for name, lives := range map[string][]time.Duration{
+		"once, after a pause":   {time.Minute, time.Minute},
+		"each 0.7 s":            {time.Minute, 700 * time.Millisecond},
+		"each 4 s":              {time.Minute, 4 * time.Second},
+		"each 9.9 s":            {30 * time.Second, 9900 * time.Millisecond},
+		"each 10.2 s":           {30 * time.Second, 10200 * time.Millisecond},
+		"each 15 s, from begin": {15 * time.Second},
+	} {
+		for _, isGreedy := range []bool{true, false} { // Otherwise, it retries only shortly before an end and after the start.
+			t.Run(fmt.Sprint(name, ", always ", isGreedy), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var requests, retries []int
+					for len(requests) < 3600 {
+						life := lives[min(len(lives)-1, boolInt(len(requests) > 0))]
+						var budgets []*budget.Budget
+						for range entries {
+							b := budget.New(ratio, slack, window)
+							b.SetEntries(entries)
+							budgets = append(budgets, b)
+						}
+						for end := time.Now().Add(life); time.Now().Before(end); time.Sleep(step) {
+							sent, retried := 0, 0
+							for _, b := range budgets {
+								b.RecordRequest()
+								sent++
+								for isGreedy || time.Until(end) < 2*step || time.Until(end) > life-time.Second {
+									if b.TakeRetry() == nil {
+										break
+									}
+									retried++
+								}
+							}
+							requests, retries = append(requests, sent), append(retries, retried)
+						}
+					}
+					checkWindows(t, requests, retries, int(window/step), ratio, slack)
+				})
+			})
+		}
+	}
+}
+
+// boolInt returns 1 for true.
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// TestStart guards against a process that has no retries at all in its first window: it earns them.
+func TestStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := budget.New(0.2, 56, 10*time.Second)
+		if b.HasRetry() {
+			t.Error("a retry before the first request")
+		}
+		for range 100 {
+			b.RecordRequest()
+		}
+		n := 0
+		for b.TakeRetry() != nil {
+			n++
+		}
+		if n != 8 {
+			t.Errorf("%d retries after 100 requests, want 8: 0.5 x 0.85 x 0.2 of them", n)
+		}
+		time.Sleep(11 * time.Second)
+		if !b.HasRetry() {
+			t.Error("no retry of the reserve after a window")
+		}
+	})
+}
+
+// TestReturn guards against a retry that was not made and stays counted.
+func TestReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := budget.New(0, 3, 10*time.Second)
+		time.Sleep(11 * time.Second)
+		var grants []*budget.Grant
+		for g := b.TakeRetry(); g != nil; g = b.TakeRetry() {
+			grants = append(grants, g)
+		}
+		time.Sleep(time.Second)
+		for _, g := range grants {
+			g.Return()
+		}
+		for range grants {
+			if b.TakeRetry() == nil {
+				t.Errorf("no retry after all of %d were returned", len(grants))
+			}
+		}
+		if len(grants) != 1 || b.HasRetry() {
+			t.Errorf("%d retries, more left: %v; want 1 of a reserve of 1.275", len(grants), b.HasRetry())
+		}
+	})
+}
+
+// checkWindows checks the limit in every window of a number of steps.
+func checkWindows(t *testing.T, requests, retries []int, steps int, ratio, slack float64) {
+	t.Helper()
+	for end := steps; end <= len(requests); end++ {
+		sent, retried := 0, 0
+		for i := end - steps; i < end; i++ {
+			sent, retried = sent+requests[i], retried+retries[i]
+		}
+		if float64(retried) > ratio*float64(sent)+slack {
+			t.Fatalf("window to step %d: %d retries of %d requests, limit %.1f", end, retried, sent, ratio*float64(sent)+slack)
+		}
+	}
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -244,7 +244,7 @@
 // allowAttempt reports whether the request may be sent to an upstream. Once an upstream has received it, each
 // attempt is a retry and takes from the retry budget.
 func (x *exchange) allowAttempt() bool {
-	return !x.sent || x.budget.AllowRetry()
+	return !x.sent || x.budget.TakeRetry() != nil
 }
 
 // mayRetry reports whether the request may be sent again after an attempt with the given outcome.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -303,7 +303,7 @@
 	defer g.mu.Unlock()
 	b, ok := g.budgets[service]
 	if !ok {
-		b = budget.New(g.settings().RetryRatio, g.settings().RetrySlack, g.settings().RetryWindow.Duration())
+		b = budget.New(g.settings().RetryRatio, g.settings().RetrySlack, g.settings().RetryWindow.Duration(), budget.WithStart(g.started))
 		g.budgets[service] = b
 	}
 	b.SetEntries(g.gossip.NumEntries())
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -367,7 +367,7 @@
 // prefill has an engine process the prompt and returns the handle of its KV cache.
 func (x *exchange) prefill(ctx context.Context, engines map[string]*upstream, choice place.Choice) (call.Handle, result) {
 	prefillEngine := engines[choice.Prefill.ID]
-	if x.prefillSent && !x.budget.AllowRetry() {
+	if x.prefillSent && x.budget.TakeRetry() == nil {
 		return call.Handle{}, exhausted
 	}
 	defer x.settle()
--- a/io/gate/repeat.go
+++ b/io/gate/repeat.go
@@ -22,7 +22,7 @@
 	x.gate.meter.Count("repeats " + x.service)
 	usage := x.budget.Usage()
 	x.gate.log.Info("repeat", "id", x.call.ID, "service", x.service, "upstream", dispatch.Instance, "phase", phase, "cause", x.cause,
-		"used", usage.Retries, "allowed", usage.Allowed, "requests", usage.Requests, "entries", usage.Entries, "uptime", time.Since(x.gate.started))
+		"used", usage.Retries, "earned", usage.Earned, "reserve", usage.Reserve, "requests", usage.Requests, "entries", usage.Entries, "uptime", time.Since(x.gate.started))
 }
 
 // isAccepted reports whether a response shows that an engine has read a prompt.
--- a/io/gate/repeats_test.go
+++ b/io/gate/repeats_test.go
@@ -110,7 +110,11 @@
 
 // TestRepeatsOverRestarts guards against repeats beyond the budget of a window in which entries start again.
 func TestRepeatsOverRestarts(t *testing.T) {
-	const length = 13 * time.Second
+	const (
+		calm   = retryWindow + time.Second // In which no upstream fails, so that the entries may retry most afterwards.
+		length = 13 * time.Second
+	)
+	binary := buildBinary(t)
 	for name, restart := range map[string]func(c *soakCluster, stop <-chan time.Time){
 		"none": func(_ *soakCluster, stop <-chan time.Time) { <-stop },
 		"all killed at once": func(c *soakCluster, stop <-chan time.Time) {
@@ -144,7 +148,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newSoakCluster(t, 1, false)
+			c := newSoakCluster(t, binary, 1, false)
+			stop := make(chan struct{})
+			var callers sync.WaitGroup
+			callers.Go(func() { c.press(stop) })
+			time.Sleep(calm)
 			for _, r := range c.replicas {
 				r.SetHandler(func(w http.ResponseWriter, req *http.Request) {
 					if rand.Float64() < failingShare {
@@ -153,9 +161,6 @@
 					r.ServeDefault(w, req)
 				})
 			}
-			stop := make(chan struct{})
-			var callers sync.WaitGroup
-			callers.Go(func() { c.press(stop) })
 			restart(c, time.After(length))
 			close(stop)
 			callers.Wait()
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -148,7 +148,7 @@
 		}
 	}
 	t.Logf("seed %d, %v, size %d", seed, length, size)
-	c := newSoakCluster(t, size, seed%2 == 1)
+	c := newSoakCluster(t, buildBinary(t), size, seed%2 == 1)
 	stop := make(chan struct{})
 	var callers, faultSeries sync.WaitGroup
 	for i := range callersPerSize * size {
@@ -183,18 +183,24 @@
 	c.verify(faultsEndedAt, recoveredAt)
 }
 
-// newSoakCluster builds the binary and starts a cluster of a multiple of the default size without faults.
-func newSoakCluster(t *testing.T, size int, hasCrashes bool) *soakCluster {
+// buildBinary builds the program with the race detector and returns its path.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "pimentoseam")
+	if out, err := exec.Command("go", "build", "-race", "-o", binary, "pimentoseam").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+// newSoakCluster starts a cluster of a multiple of the default size without faults.
+func newSoakCluster(t *testing.T, binary string, size int, hasCrashes bool) *soakCluster {
 	t.Helper()
 	dir := t.TempDir()
 	logs := dir
 	if keep := os.Getenv("KEEP"); keep != "" {
 		logs = keep
 	}
-	binary := filepath.Join(dir, "pimentoseam")
-	if out, err := exec.Command("go", "build", "-race", "-o", binary, "pimentoseam").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
 	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
 	t.Cleanup(c.stopEngines)
 	c.configure()
