gate: a run after a prompt that wasn't read takes from the retry budget

Cause: the first call for a prompt and the first run were each counted as first arrivals by fields of their own (sent, prefillSent). Only a call for a prompt that an engine accepts is free beside the first run: one that was turned away, failed or had no answer is the first arrival, and what follows is a repeat. Class: two counts of one thing. core/repeat's Account now decides both, whether a call needs a grant and whether it was a repeat; a grant that wasn't used, because nothing was sent or the prompt was read after all, is returned.

A first start of the whole system (settings: first) has its reserve at once, since no process came before; TestRepeats and TestStandstill, which count on retries in the first seconds, failed without.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -23,11 +23,13 @@
 // The budget has two parts. The earned part is a token bucket that starts empty; each request adds to it, and it holds no more
 // than its part of the slack. The retries of all processes of an entry in a window are limited by what was stored when the
 // window began and by the requests in it. The reserve is a sliding window over the requests and retries of this process. It is
-// closed until a window after the start of the process, when retries of the process before are no longer in the window.
+// closed until a window after the start of the process, when retries of the process before are no longer in the window, unless it
+// is known that there was none.
 type Budget struct {
 	window      time.Duration
 	bucketWidth time.Duration
 	start       time.Time // Of the process.
+	isFirst     bool      // No process came before.
 
 	mu      sync.Mutex
 	ratio   float64
@@ -52,6 +54,11 @@
 	return func(b *Budget) { b.start = start }
 }
 
+// WithFirstStart sets whether no process of the entry came before this one.
+func WithFirstStart(isFirst bool) Option {
+	return func(b *Budget) { b.isFirst = isFirst }
+}
+
 // New returns a Budget for one service. The limit for all entries together is ratio × requests + slack retries in
 // every interval of that length; each entry uses only 85 % of its part (see safetyMargin).
 func New(ratio, slack float64, window time.Duration, opts ...Option) *Budget {
@@ -166,7 +173,7 @@
 		}
 	}
 	// A retry that the process before has sent last may arrive a little later than its end.
-	if time.Since(b.start) > b.window+b.bucketWidth {
+	if b.isFirst || time.Since(b.start) > b.window+b.bucketWidth {
 		u.Reserve = (1-safetyMargin-b.share())*(b.ratio*float64(u.Requests)+b.slack/float64(b.entries)) - float64(used)
 	}
 	return u
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -140,6 +140,16 @@
 	})
 }
 
+// TestFirstStart guards against a system that has no reserve when it starts for the first time.
+func TestFirstStart(t *testing.T) {
+	for _, isFirst := range []bool{true, false} {
+		b := budget.New(0.2, 56, 10*time.Second, budget.WithFirstStart(isFirst))
+		if b.HasRetry() != isFirst {
+			t.Errorf("first start %v: a retry is allowed: %v", isFirst, b.HasRetry())
+		}
+	}
+}
+
 // TestReturn guards against a retry that was not made and stays counted.
 func TestReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/repeat/account.go
+++ b/core/repeat/account.go
@@ -23,16 +23,19 @@
 )
 
 // Account counts the calls of one request that reached upstreams. The first one is no repeat, and neither is the first
-// that an upstream accepts for reading the prompt.
+// that an upstream accepts for reading the prompt; each later one for the prompt is.
 type Account struct {
-	arrivals int
+	arrivals int  // Calls other than the accepted ones for the prompt.
 	wasRead  bool // A call for the prompt has been accepted.
 }
 
 // Arrive records that a call has reached an upstream, and reports whether it is a repeat. accepted tells whether the upstream
 // has answered a call for the prompt as asked; a call without an answer counts as not accepted.
 func (a *Account) Arrive(phase Phase, accepted bool) bool {
-	if phase == Read && accepted && !a.wasRead {
+	switch {
+	case phase == Read && a.wasRead:
+		return true
+	case phase == Read && accepted:
 		a.wasRead = true
 		return false
 	}
@@ -40,7 +43,12 @@
 	return a.arrivals > 1
 }
 
-// MayRepeat reports whether the next call would be a repeat, whatever its answer is or, for the prompt, unless it is accepted.
-func (a *Account) MayRepeat() bool {
-	return a.arrivals > 0
+// MayRepeat reports whether the next call is a repeat, as far as that doesn't depend on its answer.
+func (a *Account) MayRepeat(phase Phase) bool {
+	return a.arrivals > 0 || phase == Read && a.wasRead
+}
+
+// IsEmpty reports whether no call has reached an upstream.
+func (a *Account) IsEmpty() bool {
+	return a.arrivals == 0 && !a.wasRead
 }
--- a/core/repeat/account_test.go
+++ b/core/repeat/account_test.go
@@ -24,18 +24,20 @@
 		{[]string{read, read, run}, 1},
 		{[]string{run, read, run}, 1},
 		{[]string{read, run, read, run}, 2},
+		{[]string{read, read}, 1},
+		{[]string{read, turnedAway, run}, 1},
 	} {
 		t.Run(fmt.Sprint(test.calls), func(t *testing.T) {
 			var a repeat.Account
 			repeats, allowed := 0, 0
 			for _, call := range test.calls {
-				if a.MayRepeat() {
-					allowed++
-				}
 				phase := repeat.Run
 				if call != run {
 					phase = repeat.Read
 				}
+				if a.MayRepeat(phase) {
+					allowed++
+				}
 				if a.Arrive(phase, call == read) {
 					repeats++
 				}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -67,11 +67,10 @@
 	hasFailed    bool               // An upstream closed the connection of an attempt.
 	sentAt       time.Time          // When the last attempt was sent.
 	firstEvent   time.Time          // When its first event arrived; zero before.
-	sent         bool               // An upstream has received the request; further attempts are retries.
-	prefillSent  bool               // An engine has received a prefill request; further ones are retries.
 	delivered    int                // Number of attempts that reached an upstream.
 	account      repeat.Account     // Of the calls that reached upstreams.
 	cause        repeat.Cause       // What ended the last call.
+	grant        *budget.Grant      // For the next call if that is a repeat.
 	possibleRuns int                // Number of attempts that may have run.
 	rejections   int                // Number of attempts that an upstream or its circuit breaker rejected, or that failed in prefill.
 	tried        map[*upstream]bool // Upstreams that must not be tried again.
@@ -241,12 +240,6 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// allowAttempt reports whether the request may be sent to an upstream. Once an upstream has received it, each
-// attempt is a retry and takes from the retry budget.
-func (x *exchange) allowAttempt() bool {
-	return !x.sent || x.budget.TakeRetry() != nil
-}
-
 // mayRetry reports whether the request may be sent again after an attempt with the given outcome.
 func (x *exchange) mayRetry(ctx context.Context, outcome result) bool {
 	if ctx.Err() != nil || time.Until(x.deadline) < minRemaining {
@@ -278,7 +271,7 @@
 		switch {
 		case u == nil && x.roomAfter > 0 && outcome == notRun:
 			return limited
-		case u == nil || !x.allowAttempt():
+		case u == nil || !x.allowCall(repeat.Run):
 			return outcome
 		}
 		x.tried[u] = true
@@ -325,9 +318,8 @@
 	defer x.settle()
 	u.running.Add(1)
 	defer u.running.Add(-1)
-	delivered, sentAt, run := x.delivered, x.sentAt, u.info.Load()
+	sentAt, run := x.sentAt, u.info.Load()
 	resp, outcome := x.roundTrip(ctx, u, dispatch)
-	x.sent = x.sent || x.delivered > delivered
 	if resp != nil {
 		defer resp.Close()
 		outcome = x.relay(ctx, u, resp)
@@ -341,6 +333,7 @@
 // roundTrip sends the request to an upstream and returns its response, or nil and the outcome if there is none or
 // the upstream did not run the request.
 func (x *exchange) roundTrip(ctx context.Context, u *upstream, dispatch *call.Dispatch) (*client.Response, result) {
+	defer x.returnGrant()
 	if x.callerDisconnected() || ctx.Err() != nil {
 		return nil, abandoned
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -303,7 +303,8 @@
 	defer g.mu.Unlock()
 	b, ok := g.budgets[service]
 	if !ok {
-		b = budget.New(g.settings().RetryRatio, g.settings().RetrySlack, g.settings().RetryWindow.Duration(), budget.WithStart(g.started))
+		set := g.settings()
+		b = budget.New(set.RetryRatio, set.RetrySlack, set.RetryWindow.Duration(), budget.WithStart(g.started), budget.WithFirstStart(set.FirstStart))
 		g.budgets[service] = b
 	}
 	b.SetEntries(g.gossip.NumEntries())
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -61,13 +61,13 @@
 	return startWithSettings(t, store, set)
 }
 
-// newSettings returns the settings of a gate in zone z with free ports.
+// newSettings returns the settings of a gate in zone z with free ports, in a system that starts for the first time.
 func newSettings(t *testing.T, store *simop.Store, seeds string) *setup.Gate {
 	t.Helper()
 	addrs := freeAddrs(t, 5)
 	return &setup.Gate{
 		Name: fmt.Sprintf("gate-%d", addrs[0].Port()), Zone: "z", Listen: addrs[0], Ready: addrs[1], Share: addrs[2], Peer: addrs[3], Debug: addrs[4],
-		Store: store.Addr(), Seeds: seeds,
+		Store: store.Addr(), Seeds: seeds, FirstStart: true,
 		Bounds: setup.Bounds{
 			GracePeriod: span.Span(4 * time.Second), DrainTime: span.Span(2 * time.Second), ApplyTime: span.Span(2 * time.Second),
 			LeaseTime: span.Span(3 * time.Second), RetryRatio: 0.2, RetrySlack: 200, RetryWindow: span.Span(10 * time.Second),
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -37,7 +37,7 @@
 		case !ok:
 			return outcome
 		}
-		if !x.sent && !x.prefillSent && !x.admit(choice) {
+		if x.account.IsEmpty() && !x.admit(choice) {
 			return refused
 		}
 		if !x.holdPermits(ctx, choice, engines) {
@@ -281,7 +281,7 @@
 // of the engine.
 func (x *exchange) decode(ctx context.Context, decodeEngine *upstream, dispatch *call.Dispatch, prefixes []cached.Prefix, delay time.Duration) result {
 	id := decodeEngine.info.Load().ID
-	if !x.allowAttempt() {
+	if !x.allowCall(repeat.Run) {
 		return exhausted
 	}
 	defer decodeEngine.addDecode(x.call.PromptTokens+x.call.MaxOutputTokens, x.priority)()
@@ -367,7 +367,7 @@
 // prefill has an engine process the prompt and returns the handle of its KV cache.
 func (x *exchange) prefill(ctx context.Context, engines map[string]*upstream, choice place.Choice) (call.Handle, result) {
 	prefillEngine := engines[choice.Prefill.ID]
-	if x.prefillSent && x.budget.TakeRetry() == nil {
+	if !x.allowCall(repeat.Read) {
 		return call.Handle{}, exhausted
 	}
 	defer x.settle()
@@ -381,7 +381,6 @@
 	defer stop()
 	go prefillEngine.watchStall(attemptCtx, choice.PrefillTime, x.canRepeat(prefillEngine), stop)
 	resp, outcome := x.roundTrip(attemptCtx, prefillEngine, dispatch)
-	x.prefillSent = x.prefillSent || x.delivered > delivered
 	if resp == nil {
 		// Prefill is safe to repeat, so a failure doesn't count as a run of the request.
 		x.possibleRuns = possibleRuns
--- a/io/gate/permit.go
+++ b/io/gate/permit.go
@@ -303,7 +303,7 @@
 // overdue returns an upstream with a limit that must get a request now, so that it can state whether it still has one; nil if
 // there is none. A request is used for that once.
 func (x *exchange) overdue(isFit func(u *upstream) bool) *upstream {
-	if x.probed || x.sent || x.prefillSent || !x.gate.permits.book.HasLimits() {
+	if x.probed || !x.account.IsEmpty() || !x.gate.permits.book.HasLimits() {
 		return nil
 	}
 	for _, u := range x.gate.snapshot.Load().services[x.service] {
--- a/io/gate/repeat.go
+++ b/io/gate/repeat.go
@@ -8,6 +8,23 @@
 	"pimentoseam/core/repeat"
 )
 
+// allowCall reports whether the request may be sent to an upstream. A repeat takes from the retry budget; the grant is returned
+// unless the call arrives as one.
+func (x *exchange) allowCall(phase repeat.Phase) bool {
+	if !x.account.MayRepeat(phase) {
+		return true
+	}
+	x.returnGrant()
+	x.grant = x.budget.TakeRetry()
+	return x.grant != nil
+}
+
+// returnGrant returns the grant of a repeat that was not made.
+func (x *exchange) returnGrant() {
+	x.grant.Return()
+	x.grant = nil
+}
+
 // recordArrival records that a call has reached an upstream. A repeat is counted and logged with the state of the budget, so that
 // the lines of all entries add up to the arrivals that the budget allows for together.
 func (x *exchange) recordArrival(dispatch *call.Dispatch, accepted bool) {
@@ -21,8 +38,9 @@
 	x.gate.meter.Count("repeats")
 	x.gate.meter.Count("repeats " + x.service)
 	usage := x.budget.Usage()
-	x.gate.log.Info("repeat", "id", x.call.ID, "service", x.service, "upstream", dispatch.Instance, "phase", phase, "cause", x.cause,
+	x.gate.log.Info("repeat", "id", x.call.ID, "service", x.service, "upstream", dispatch.Instance, "phase", phase, "cause", x.cause, "granted", x.grant != nil,
 		"used", usage.Retries, "earned", usage.Earned, "reserve", usage.Reserve, "requests", usage.Requests, "entries", usage.Entries, "uptime", time.Since(x.gate.started))
+	x.grant = nil
 }
 
 // isAccepted reports whether a response shows that an engine has read a prompt.
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -251,7 +251,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(relay.Close)
-		set.RetrySlack = repeatSlack
+		set.RetrySlack, set.FirstStart = repeatSlack, false // The processes are started again with the same file.
 		set.Name, set.Zone, set.Store = fmt.Sprintf("gate-%d", i), []string{"east", "west"}[i%2], relay.Addr()
 		// Each gate has an IP address of its own. Otherwise an outgoing connection of another process could take
 		// one of its ports while it is down.
