soak: accepted requests, continued streams and processes that end by themselves are checked

TestSoak counts, from what callers and upstreams see: requests on kept connections that a sound replica got and that a calm gate left without an answer (three are allowed), requests that a stopping gate cuts, streams that go on at a replica while the one before works on them for more than 400 ms, and processes that exit without a signal. A new fault makes all replicas fail or turn away seven of ten requests.

--- a/io/gate/repeats_test.go
+++ b/io/gate/repeats_test.go
@@ -120,7 +120,7 @@
 		"all killed at once": func(c *soakCluster, stop <-chan time.Time) {
 			for isOpen(stop, 4*time.Second) {
 				for _, g := range c.gates {
-					g.end(syscall.SIGKILL)
+					g.end(c.t, syscall.SIGKILL)
 				}
 				for _, g := range c.gates {
 					g.start(c.t)
@@ -130,7 +130,7 @@
 		"killed in turn": func(c *soakCluster, stop <-chan time.Time) {
 			for i := 0; isOpen(stop, 700*time.Millisecond); i++ {
 				g := c.gates[i%len(c.gates)]
-				g.end(syscall.SIGKILL)
+				g.end(c.t, syscall.SIGKILL)
 				g.start(c.t)
 			}
 		},
@@ -139,7 +139,7 @@
 			for i := 0; isOpen(stop, 1300*time.Millisecond); i++ {
 				g := c.gates[i%len(c.gates)]
 				ends.Go(func() {
-					g.end(syscall.SIGTERM)
+					g.end(c.t, syscall.SIGTERM)
 					g.start(c.t)
 				})
 			}
--- a/io/gate/siege_test.go
+++ b/io/gate/siege_test.go
@@ -185,7 +185,7 @@
 	t.Cleanup(func() { _ = log.Close() })
 	s.process = &process{args: []string{binary, "gate", "--settings", file}, log: log}
 	s.process.start(t)
-	t.Cleanup(func() { s.process.end(syscall.SIGKILL) })
+	t.Cleanup(func() { s.process.end(t, syscall.SIGKILL) })
 	s.g.waitReady(t)
 	return s
 }
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -8,10 +8,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +22,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pimentoseam/core/setup"
 	"pimentoseam/io/simnet"
 	"pimentoseam/io/simop"
@@ -58,10 +62,20 @@
 	}
 }
 
+// hasExited reports whether the process has exited; the lock must be held.
+func (p *process) hasExited() bool {
+	var info unix.Siginfo
+	err := unix.Waitid(unix.P_PID, p.cmd.Process.Pid, &info, unix.WEXITED|unix.WNOHANG|unix.WNOWAIT, nil)
+	return err != nil || info.Signo != 0
+}
+
 // end sends a terminating signal and waits until the process has exited.
-func (p *process) end(s syscall.Signal) {
+func (p *process) end(t *testing.T, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.hasExited() {
+		t.Errorf("%s ended by itself", strings.Join(p.args, " "))
+	}
 	_ = p.cmd.Process.Signal(s) // Fails only if the process has exited already.
 	_ = p.cmd.Wait()            // A killed process always returns an error.
 }
@@ -101,6 +115,10 @@
 	disturbed  []disturbance                  // By gate.
 	limiting   sync.WaitGroup                 // The replicas that name limits.
 	repeats    repeatTally
+	faults     faultLog // Guarded by mu.
+
+	arrivalsMu sync.Mutex
+	arrivals   map[string][]*soakArrival // By attempt id.
 }
 
 // relayedReplica is a replica of the app service with the relay that gates connect to it through.
@@ -117,10 +135,15 @@
 	crash  bool      // The prompt has the part that crashes engines.
 	status int       // 0 if there was no complete response.
 	at     time.Time // When the request was sent.
+	ended  time.Time
+
+	headSeen bool // A response has begun.
+	reused   bool // The connection had carried another request.
+	timedOut bool // The caller has given up.
 }
 
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
-// requests of unsafe routes run at most once, and not at all if they were rejected; repeats stay within their budget; responses are complete; no gate
+// requests of unsafe routes run at most once, and not at all if they were rejected; repeats stay within their budget; what was accepted is answered; streams go on at one replica at a time; no process ends by itself; responses are complete; no gate
 // returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines and requests that crash plain upstreams, which odd seeds send, soon reach none; and
 // requests are served again soon after the last fault. The environment
 // variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
@@ -201,7 +224,7 @@
 	if keep := os.Getenv("KEEP"); keep != "" {
 		logs = keep
 	}
-	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
+	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64), faults: make(faultLog), arrivals: make(map[string][]*soakArrival), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
 	t.Cleanup(c.stopEngines)
 	c.configure()
 	peer := freeAddrs(t, 1)[0].Port()
@@ -222,7 +245,7 @@
 		p.start(t)
 		t.Cleanup(func() {
 			p.signal(syscall.SIGCONT)
-			p.end(syscall.SIGKILL)
+			p.end(t, syscall.SIGKILL)
 			_ = log.Close() // Nothing reads the file but people, after the test.
 		})
 		return p
@@ -323,19 +346,22 @@
 	pause := func(minMs, maxMs int) { time.Sleep(time.Duration(minMs+random.IntN(maxMs-minMs)) * time.Millisecond) }
 	// The two series select different processes, so none is killed or suspended twice at a time.
 	i := 2*random.IntN(len(c.gates)/2) + series
-	switch random.IntN(13) {
+	switch random.IntN(14) {
 	case 0:
 		defer c.disturb(i)()
-		c.gates[i].end(syscall.SIGKILL)
+		defer c.begin(gateName(i), false)()
+		c.gates[i].end(c.t, syscall.SIGKILL)
 		pause(10, 1500)
 		c.gates[i].start(c.t)
 	case 1:
 		defer c.disturb(i)()
-		c.gates[i].end(syscall.SIGTERM)
+		defer c.begin(gateName(i), true)()
+		c.gates[i].end(c.t, syscall.SIGTERM)
 		pause(10, 500)
 		c.gates[i].start(c.t)
 	case 2:
 		defer c.disturb(i)()
+		defer c.begin(gateName(i), false)()
 		c.gates[i].signal(syscall.SIGSTOP)
 		pause(300, 4000)
 		c.gates[i].signal(syscall.SIGCONT)
@@ -354,7 +380,9 @@
 		pause(200, 4000)
 		relay.Heal()
 	case 5:
-		relay := c.randomApp(random).relay
+		app := c.randomApp(random)
+		relay := app.relay
+		defer c.begin(app.ID, false)()
 		[]func(){relay.Blackhole, relay.Partition, relay.Reset, relay.DropResponses, func() { relay.SetLatency(100 * time.Millisecond) }}[random.IntN(5)]()
 		pause(200, 2500)
 		relay.Heal()
@@ -363,12 +391,14 @@
 		if random.IntN(2) == 0 {
 			r = c.randomEngine(random)
 		}
+		defer c.begin(r.ID, false)()
 		r.SetHandler(faultyHandler(r, random.IntN(8)))
 		pause(200, 2500)
 		r.SetHandler(nil)
 	case 7:
 		c.addApp(int(c.added.Add(1)))
 		r := c.removeApp()
+		c.begin(r.ID, false)
 		if random.IntN(2) == 0 {
 			c.store.Put("servers/"+r.ID, r.RegistrationAt("draining", r.relay.Addr()))
 			pause(2000, 3000)
@@ -376,7 +406,7 @@
 		c.store.Remove("servers/" + r.ID)
 	case 8:
 		a := c.agents[i%len(c.agents)]
-		a.end(syscall.SIGKILL)
+		a.end(c.t, syscall.SIGKILL)
 		pause(10, 2000)
 		a.start(c.t)
 	case 9:
@@ -385,7 +415,9 @@
 			pause(10, 300)
 		}
 	case 10:
-		c.randomEngine(random).Restart([]string{"prefill", "decode"}[random.IntN(2)])
+		e := c.randomEngine(random)
+		defer c.begin(e.ID, false)()
+		e.Restart([]string{"prefill", "decode"}[random.IntN(2)])
 	case 11:
 		slot := random.IntN(len(c.engines))
 		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond, false)
@@ -395,6 +427,35 @@
 			r = c.randomEngine(random)
 		}
 		c.nameLimit(r, []float64{0, 0.7, 3, 5.5, 12}[random.IntN(5)], time.Duration(4000+random.IntN(6000))*time.Millisecond)
+	case 13:
+		defer c.failMost(random.IntN(2))()
+		pause(1000, 3000)
+	}
+}
+
+// failMost makes all replicas fail most requests with a fault of faultyHandler until the returned function is called, so that
+// callers need more repeats than the budget allows.
+func (c *soakCluster) failMost(kind int) func() {
+	const share = 0.7
+	c.mu.Lock()
+	replicas := slices.Clone(c.replicas)
+	c.mu.Unlock()
+	var ends []func()
+	for _, r := range replicas {
+		ends = append(ends, c.begin(r.ID, false), func() { r.SetHandler(nil) })
+		faulty := faultyHandler(r, kind)
+		r.SetHandler(func(w http.ResponseWriter, req *http.Request) {
+			if rand.Float64() < share {
+				faulty(w, req)
+				return
+			}
+			r.ServeDefault(w, req)
+		})
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
 	}
 }
 
@@ -517,9 +578,13 @@
 		}
 		req.Header.Set("X-Deadline-Remaining-Ms", "5000")
 		c.repeats.send(service)
-		if resp, err := client.Do(req); err == nil {
+		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { result.reused = i.Reused }}))
+		resp, err := client.Do(req)
+		if err == nil {
+			result.headSeen = true
 			result.status = c.checkResponse(resp, id, path)
 		}
+		result.ended, result.timedOut = time.Now(), os.IsTimeout(err)
 		if strings.HasPrefix(path, "/gen") && c.gates[gate].starts.Load() == starts {
 			c.recordServed(gate, starts, version, before, result.status)
 		}
@@ -631,7 +696,10 @@
 		c.t.Errorf("%d of %d calls served from %v after the last fault, want three quarters at least", servedCalls, afterRecovery, recoveredAt.Sub(faultsEndedAt))
 	}
 	c.repeats.check(c.t, retryRatio, repeatSlack)
+	arrivals := c.sortedArrivals()
 	c.mu.Lock()
+	c.checkLost(arrivals)
+	c.checkOverlaps(arrivals)
 	if len(c.late) > allowedAfter {
 		c.t.Errorf("%d requests with a part that crashes engines were sent later than %v after the fifth of %d crashes, want %d at most: %v", len(c.late), contactTime, len(c.crashes), allowedAfter, c.late)
 	}
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -40,7 +40,8 @@
 		_ = l.Close() // Nothing has connected.
 		return nil
 	}
-	e := simop.NewReplica(fmt.Sprintf("e-%d-%d", slot, len(c.replicas)), "lm", stage, simop.WithListener(l), simop.WithArrivals(c.repeats.arrive("lm")))
+	id := fmt.Sprintf("e-%d-%d", slot, len(c.replicas))
+	e := simop.NewReplica(id, "lm", stage, simop.WithListener(l), simop.WithArrivals(c.arrive(id, "lm")))
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(streamEvents, 15*time.Millisecond, 0)
 	if c.hasCrashes {
@@ -84,7 +85,7 @@
 
 // startApp starts a replica of the app service, under an id that it may have had before; its caller registers it.
 func (c *soakCluster) startApp(id string, l net.Listener) *simop.Replica {
-	r := simop.NewReplica(id, "app", "", simop.WithListener(l), simop.WithArrivals(c.repeats.arrive("app")))
+	r := simop.NewReplica(id, "app", "", simop.WithListener(l), simop.WithArrivals(c.arrive(id, "app")))
 	r.SetBorn(time.Now().UnixMilli())
 	if c.hasCrashes {
 		r.SetCrash(&simop.Crash{
@@ -116,6 +117,7 @@
 	}
 	c.apps[i].hasEnded = true
 	relay := c.apps[i].relay
+	c.faults[r.ID] = append(c.faults[r.ID], &interval{from: time.Now().Add(-crashNotice), to: time.Now().Add(time.Second)})
 	c.appCrashes = append(c.appCrashes, time.Now())
 	c.mu.Unlock()
 	time.Sleep(time.Second)
@@ -148,6 +150,7 @@
 		c.crashes = append(c.crashes, time.Now())
 	}
 	c.engines[slot] = nil
+	c.faults[e.ID] = append(c.faults[e.ID], &interval{from: time.Now().Add(-crashNotice)})
 	c.mu.Unlock()
 	e.Crash()
 	time.Sleep(downTime)
