gate: a repeat gets a new connection where the request has been before

Cause: a response is matched to its request by the attempt's id. Where one request is sent twice to one address, a late copy of the first answer has the right id and passes for the second one. The address can be the same although an upstream is never tried twice: an upstream that is listed anew after a lapse counts as another one, and an engine that has read a prompt can have changed roles.

Change: client.Request.IsRepeat; such a call opens a new connection. The class, a response that is taken for that of a later call, ends there, whatever it says.

--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -99,6 +99,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// IsRepeat tells that the request was sent to the address before. It then gets a new connection, since on one that has
+	// carried it a late copy of the response to it would match.
+	IsRepeat bool
 	// Matches reports whether a response belongs to this request; nil accepts every response. reused tells that the
 	// connection carried another request before, to which the response may belong.
 	Matches func(status int, h http.Header, reused bool) bool
@@ -151,7 +154,7 @@
 // connections to addr, 0 for none. The error is a *NotSent, *LimitReached or *NoResponse. When ctx ends,
 // reading the response fails; the connection is then closed by Do if it returns an error, otherwise by Response.Close.
 func (p *Pool) Do(ctx context.Context, addr netip.AddrPort, r *Request, limit int) (*Response, error) {
-	c, err := p.connect(ctx, addr, limit)
+	c, err := p.connect(ctx, addr, limit, !r.IsRepeat)
 	if err != nil {
 		return nil, err
 	}
@@ -181,9 +184,9 @@
 	return err
 }
 
-// connect returns a reusable idle connection or opens a new one.
-func (p *Pool) connect(ctx context.Context, addr netip.AddrPort, limit int) (*conn, error) {
-	for {
+// connect returns a reusable idle connection, if mayReuse is set, or opens a new one.
+func (p *Pool) connect(ctx context.Context, addr netip.AddrPort, limit int, mayReuse bool) (*conn, error) {
+	for mayReuse {
 		c := p.takeIdle(addr)
 		if c == nil {
 			break
@@ -231,7 +234,7 @@
 
 // Prepare makes sure that there is an idle connection to addr for a later Do.
 func (p *Pool) Prepare(ctx context.Context, addr netip.AddrPort) error {
-	c, err := p.connect(ctx, addr, 0)
+	c, err := p.connect(ctx, addr, 0, true)
 	if err != nil {
 		return err
 	}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -71,6 +73,7 @@
 	account      repeat.Account     // Of the calls that reached upstreams.
 	cause        repeat.Cause       // What ended the last call.
 	grant        *budget.Grant      // For the next call if that is a repeat.
+	sentTo       []netip.AddrPort   // The addresses that the request may have reached.
 	possibleRuns int                // Number of attempts that may have run.
 	rejections   int                // Number of attempts that an upstream or its circuit breaker rejected, or that failed in prefill.
 	tried        map[*upstream]bool // Upstreams that must not be tried again.
@@ -358,8 +361,9 @@
 	}
 	resp, err := x.gate.pool.Do(ctx, info.Addr, &client.Request{
 		Method: x.r.Method, Target: head.Origin(x.r.RequestURI), Host: x.r.Host, Body: x.body,
-		Header: platform.RequestHeader(x.r.Header, dispatch), Matches: x.matches,
+		Header: platform.RequestHeader(x.r.Header, dispatch), Matches: x.matches, IsRepeat: slices.Contains(x.sentTo, info.Addr),
 	}, limit)
+	x.sentTo = append(x.sentTo, info.Addr)
 	if err != nil {
 		return nil, x.handleError(ctx, u, info, dispatch, err)
 	}
