engine: an old refusal on a kept connection isn't taken for that of the next request

What callers of the own interface saw: "not run" for a repeatable request that the upstream was running. Cause: the agent's client knows no ids in responses, so a copy of an earlier refusal that comes after the next request has been written is its response. Calls that may run once have connections of their own and can't get it. Change: on a connection that was used before, a 503 counts only if it names the request; a response that names another request never counts. Such a call fails as one that may have run.

TestOldRefusal (io/engine) before: the second request got the old answer in three of four cases; now an error with the cause.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"time"
@@ -49,6 +50,17 @@
 	return "status " + strconv.Itoa(e.Status)
 }
 
+// StrayResponse reports a response that may belong to an earlier request on the same connection.
+type StrayResponse struct {
+	Status int
+	ID     string // The request that the response names; empty for none.
+}
+
+// Error returns the status and the request that the response names.
+func (e *StrayResponse) Error() string {
+	return "response with status " + strconv.Itoa(e.Status) + " may belong to an earlier request " + e.ID
+}
+
 // Client calls the upstream at one address.
 type Client struct {
 	base     string
@@ -78,7 +90,7 @@
 	if run.Type != "" {
 		r.Header.Set("Content-Type", run.Type)
 	}
-	r.Header.Set("X-Request-Id", run.ID)
+	r.Header.Set(requestIDHeader, run.ID)
 	r.Header.Set("X-Priority", strconv.Itoa(run.Priority))
 	if run.KVHandle != "" {
 		r.Header.Set("X-Kv-Source", run.KVHandle)
@@ -89,13 +101,32 @@
 		r.GetBody = nil
 		client = c.unpooled
 	}
-	resp, err := client.Do(r)
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }}
+	resp, err := client.Do(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil && isStray(resp, run.ID, reused) {
+		err = &StrayResponse{Status: resp.StatusCode, ID: resp.Header.Get(requestIDHeader)}
+		_ = resp.Body.Close() // Nothing is read from it.
+	}
 	if err != nil {
 		return nil, &Error{Op: run.Method + " " + run.Path, MaybeSent: true, Cause: err}
 	}
 	return resp, nil
 }
 
+// requestIDHeader has the id of a request; upstreams may state it in their responses.
+const requestIDHeader = "X-Request-Id"
+
+// isStray reports whether a response may be a late copy of that to an earlier request on the connection: it names another
+// request or, on a connection that was used before, it says that the request did not run and names none.
+func isStray(resp *http.Response, id string, reused bool) bool {
+	named := resp.Header.Get(requestIDHeader)
+	if named == "" {
+		return reused && resp.StatusCode == http.StatusServiceUnavailable
+	}
+	return named != id
+}
+
 // State is the state that a model engine reports; Phase is "ready" while it executes no command.
 type State struct {
 	Phase    string `json:"phase"`
