vmlist: one odd entry doesn't hide the others

What operators saw: an entry of another writer in the list (very deeply nested, a number too large, a port out of range), after which processes no longer followed it. Here it held for the own interface: the list was decoded in one piece, so that one odd element failed all of it, again each second, without a log line; VMs that leave kept getting work. Class: one reader's error for all writers' values. Change: elements are split without looking inside of them and decoded one by one; those that describe no VM are left out and logged, and so is a list that can't be read.

Before: an error for the whole list with a port of 70000 and with a number of 1e400 (TestOddEntries in short); after: TestOddEntries, 16 odd elements at once, one of them nested 400,000 levels deep.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -64,7 +64,6 @@
 		log:            proc.Logger(settings.Name),
 		events:         event.New(settings.Name, maxEvents),
 		store:          store.New(settings.Store),
-		vms:            vmlist.New(settings.VMs),
 		budget:         retry.New(retryRatio),
 		blame:          blame.New(),
 		crashes:        crash.New(),
@@ -73,6 +72,7 @@
 		upstreams:      make(map[string]*upstream),
 		previousOwners: make(map[netip.AddrPort]*upstream),
 	}
+	e.vms = vmlist.New(settings.VMs, vmlist.WithOnOdd(func(index int, err error) { e.log.Warn("VM left out", "index", index, "err", err) }))
 	e.view.Store(emptyView())
 	e.fleet.Store(&fleet{})
 	e.election = newElection(e)
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -48,6 +48,8 @@
 		list, changed, err := e.vms.List(ctx)
 		if err == nil {
 			e.lastListAt.Store(time.Now().UnixNano())
+		} else if ctx.Err() == nil {
+			e.log.Warn("VM list not read", "err", err)
 		}
 		if changed {
 			e.setFleet(list)
--- a/io/vmlist/client.go
+++ b/io/vmlist/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"pimentoseam/io/limit"
@@ -53,6 +54,15 @@
 	listURL string
 	http    *http.Client
 	etag    string // ETag of the last list that was read.
+	onOdd   func(index int, err error)
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithOnOdd sets a function that is called with the index and the error, a *BadVM, of each element that is left out.
+func WithOnOdd(f func(index int, err error)) Option {
+	return func(c *Client) { c.onOdd = f }
 }
 
 const (
@@ -62,11 +72,15 @@
 )
 
 // New returns a Client for the list served at addr.
-func New(addr netip.AddrPort) *Client {
-	return &Client{listURL: "http://" + addr.String() + "/v1/vms", http: &http.Client{Timeout: callTimeout}}
+func New(addr netip.AddrPort, opts ...Option) *Client {
+	c := &Client{listURL: "http://" + addr.String() + "/v1/vms", http: &http.Client{Timeout: callTimeout}, onOdd: func(int, error) {}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
-// List returns the VMs, which may lag behind their actual state, or false if the list hasn't changed since
+// List returns the VMs, which may lag behind their actual state, without elements that describe none, or false if the list hasn't changed since
 // the last successful call or can't be read. Its error is an *Error.
 func (c *Client) List(ctx context.Context) ([]VM, bool, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.listURL, nil)
@@ -91,10 +105,49 @@
 	if err != nil {
 		return nil, false, &Error{Cause: err}
 	}
-	var vms []VM
-	if err := json.Unmarshal(data, &vms); err != nil {
+	elements, err := split(data)
+	if err != nil {
 		return nil, false, &Error{Cause: err}
 	}
+	vms := make([]VM, 0, len(elements))
+	for i, element := range elements {
+		vm, err := readVM(element)
+		if err != nil {
+			c.onOdd(i, err)
+			continue
+		}
+		vms = append(vms, vm)
+	}
 	c.etag = resp.Header.Get("ETag")
 	return vms, true, nil
 }
+
+// BadVM reports an element of the list that describes no VM.
+type BadVM struct {
+	Cause error // Nil if a field is missing or its value is unknown.
+}
+
+// Error names the cause.
+func (e *BadVM) Error() string {
+	if e.Cause == nil {
+		return "VM without a name or a known state"
+	}
+	return "VM not decoded: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *BadVM) Unwrap() error {
+	return e.Cause
+}
+
+// readVM decodes an element of the list; its error is a *BadVM.
+func readVM(data []byte) (VM, error) {
+	var vm VM
+	if err := json.Unmarshal(data, &vm); err != nil {
+		return VM{}, &BadVM{Cause: err}
+	}
+	if vm.Name == "" || !slices.Contains([]State{Live, Leaving, Gone}, vm.State) {
+		return VM{}, &BadVM{}
+	}
+	return vm, nil
+}
--- a/io/vmlist/client_test.go
+++ b/io/vmlist/client_test.go
@@ -1,11 +1,14 @@
 package vmlist_test
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +102,45 @@
 		t.Errorf("got %.0f bytes per second, want at most %d", bytesPerSecond, maxBytesPerSecond)
 	}
 }
+
+// TestOddEntries guards against a list that is no longer followed because of entries that describe no VM.
+func TestOddEntries(t *testing.T) {
+	sound := `{"name":"vm-%d","address":"127.0.0.1:%d","role":"upstream","state":"leaving","since":"2026-01-02T03:04:05Z"}`
+	nested := strings.Repeat(`{"a":[`, 200_000) + strings.Repeat(`]}`, 200_000)
+	odd := []string{
+		nested, `{"name":"o","state":"live","address":` + nested + `}`, `{"name":"o","address":"127.0.0.1:70000","state":"live"}`,
+		`{"name":"o","address":"127.0.0.1:-1","state":"live"}`, `{"name":1e400,"state":"live"}`, `{"name":"o","state":"live","since":1e400}`,
+		`{"name":"o","state":"asleep"}`, `{"name":"o"}`, `{}`, `null`, `7`, `"a \" ] , [ b"`, `[1,2]`, "\xff\xfe", ``, `{"name":"` + strings.Repeat("x", 500_000) + `"}`,
+	}
+	for _, isLast := range []bool{false, true} {
+		entries := append([]string{fmt.Sprintf(sound, 1, 1)}, odd...)
+		if !isLast {
+			entries = append(entries, fmt.Sprintf(sound, 2, 2))
+		}
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "\n[ "+strings.Join(entries, " , ")+" ]\n") // The client has disconnected if this fails.
+		}))
+		defer s.Close()
+		left := 0
+		c := vmlist.New(netip.MustParseAddrPort(s.Listener.Addr().String()), vmlist.WithOnOdd(func(_ int, err error) {
+			left++
+			if bad := new(vmlist.BadVM); !errors.As(err, &bad) {
+				t.Errorf("got %v, want a *BadVM", err)
+			}
+		}))
+		got, changed, err := c.List(t.Context())
+		if err != nil || !changed || len(got) != len(entries)-len(odd) || left != len(odd) {
+			t.Fatalf("got %d VMs and %d left out, %v, %v; want %d and %d", len(got), left, changed, err, len(entries)-len(odd), len(odd))
+		}
+		if got[0].Name != "vm-1" || got[0].State != vmlist.Leaving {
+			t.Errorf("got %+v, want vm-1", got[0])
+		}
+	}
+	for _, broken := range []string{"", "null", "{}", "[", "[1,2", "]"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, broken) }))
+		defer s.Close()
+		if got, changed, err := vmlist.New(netip.MustParseAddrPort(s.Listener.Addr().String())).List(t.Context()); err == nil || changed {
+			t.Errorf("%q: got %v, %v, want an error", broken, got, changed)
+		}
+	}
+}
