--- a/io/tend/tend_test.go
+++ b/io/tend/tend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -315,3 +316,26 @@
 		})
 	}
 }
+
+// TestOddPlans guards against an agent that ends, or no longer follows the plan, because of values that are no plan, among them
+// ones that are nested deeply, have a number too large or a port out of range.
+func TestOddPlans(t *testing.T) {
+	store, engine := simop.NewStore(), simop.NewReplica("i-1", "lm", "decode")
+	t.Cleanup(store.Close)
+	t.Cleanup(engine.Close)
+	peer := startAgent(t, store, engine)
+	nested := strings.Repeat(`{"a":[`, 60_000) + strings.Repeat(`]}`, 60_000)
+	odd := []string{
+		nested, `{"orders":` + nested + `}`, `{"epoch":1e400}`, `{"epoch":1e30}`, `{"era":99999999999999999999}`, `{"orders":[{"addr":"127.0.0.1:70000","role":"prefill"}]}`,
+		`{"orders":[null,{"addr":7}]}`, "null", "[]", "\xff\xfe", `{"orders":[{"addr":"` + engine.Addr().String() + `","role":"both","upstream":"i-1"}]}`,
+	}
+	for _, value := range odd {
+		store.Put("plan/lm", []byte(value))
+		sendDatagram(t, peer, []byte(value)[:min(len(value), 1400)])
+		time.Sleep(noticeTimeout)
+	}
+	store.Put("plan/lm", planFor(engine, "prefill"))
+	eventually(t, 5*time.Second, "prefill by the plan", func() bool { return engine.Stage() == "prefill" })
+	sendDatagram(t, peer, noticeFor(engine, "decode", 1<<40).Encode())
+	eventually(t, 5*time.Second, "decode by a notice", func() bool { return engine.Stage() == "decode" })
+}
