stream, gate, entry: text that is no event doesn't reach the caller of a stream

A next response with another status never got through at the gate (TestBrokenStream, 20 cases); one with the status of a success did, and so did a second head within a body, at both fronts: the splitter took any text up to an empty line for an event. Class: a boundary that is found is taken for content that is understood.

Change: on the platform, once an event has an id, all later ones need an id, and data or a type; on the own interface, whose events have none, data or a type. What lacks these ends the attempt as a response that broke off: the stream goes on elsewhere or is aborted.

--- a/core/stream/splitter.go
+++ b/core/stream/splitter.go
@@ -29,6 +29,16 @@
 	return fmt.Sprintf("stream ended inside an event, after %d bytes of it", e.Size)
 }
 
+// Foreign reports text in a stream that is no event of it, such as an error page or another response.
+type Foreign struct {
+	Size int // Bytes up to the empty line that ends the text.
+}
+
+// Error returns a text with the size.
+func (e *Foreign) Error() string {
+	return fmt.Sprintf("%d bytes between events are no event of the stream", e.Size)
+}
+
 // Splitter collects the bytes of a stream and returns them in complete events. Lines end with LF, CR or CRLF; an empty
 // line ends an event. A comment line outside of events is complete by itself.
 type Splitter struct {
@@ -40,23 +50,49 @@
 	afterCR   bool
 	inEvent   bool // A field of the present event has been read.
 	hasID     bool // The present event has an id.
+	hasData   bool // The present event has data or a type.
+	needsData bool // See WithData.
+	hasIDs    bool // See WithIDs.
+	needsID   bool // Events without an id are foreign from here on.
+	isForeign bool // The text at the end of the data is no event.
 	id        string
 	lastID    string
 	count     int
 }
 
+// Option configures a Splitter.
+type Option func(*Splitter)
+
+// WithIDs makes the Splitter report text that is no event: once an event has an id, all later ones must have one, and data or a
+// type. last is the id of the last event before the stream, empty for none.
+func WithIDs(last string) Option {
+	return func(s *Splitter) { s.hasIDs, s.needsID = true, last != "" }
+}
+
+// WithData makes the Splitter report events that have neither data nor a type.
+func WithData() Option {
+	return func(s *Splitter) { s.needsData = true }
+}
+
 // New returns a Splitter at the start of a stream.
-func New() *Splitter {
-	return &Splitter{}
+func New(opts ...Option) *Splitter {
+	s := &Splitter{}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
-// Add appends bytes of the stream; its error is a *TooLarge.
+// Add appends bytes of the stream; its error is a *TooLarge or a *Foreign, before which complete events may have come.
 func (s *Splitter) Add(data []byte) error {
 	s.dropTaken()
 	s.data = append(s.data, data...)
-	for ; s.scanned < len(s.data); s.scanned++ {
+	for ; s.scanned < len(s.data) && !s.isForeign; s.scanned++ {
 		s.scan(s.data[s.scanned])
 	}
+	if s.isForeign {
+		return &Foreign{Size: s.lineStart - s.complete}
+	}
 	if size := len(s.data) - s.complete; size > MaxEventBytes {
 		return &TooLarge{Size: size}
 	}
@@ -83,7 +119,7 @@
 		s.lineStart = i + 1
 	case b == '\n' || b == '\r':
 		s.endLine(s.data[s.lineStart:i])
-		if !s.inEvent {
+		if !s.inEvent && !s.isForeign {
 			s.complete = i + 1
 		}
 		s.lineStart = i + 1
@@ -93,19 +129,30 @@
 func (s *Splitter) endLine(line []byte) {
 	switch {
 	case len(line) == 0:
-		if s.hasID {
-			s.lastID = s.id
-		}
-		if s.inEvent {
-			s.count++
-		}
-		s.inEvent, s.hasID = false, false
+		s.endEvent()
 	case line[0] != ':':
 		s.inEvent = true
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.hasID, s.id = true, string(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		s.hasData = s.hasData || bytes.HasPrefix(line, []byte("data:")) || bytes.HasPrefix(line, []byte("event:"))
+	}
+}
+
+// endEvent handles the empty line that ends an event, if there is one.
+func (s *Splitter) endEvent() {
+	lacksID, lacksData := s.needsID && !s.hasID, (s.needsID || s.needsData) && !s.hasData
+	if s.inEvent && (lacksID || lacksData) {
+		s.isForeign = true
+		return
+	}
+	if s.hasID {
+		s.lastID, s.needsID = s.id, s.hasIDs
+	}
+	if s.inEvent {
+		s.count++
 	}
+	s.inEvent, s.hasID, s.hasData = false, false, false
 }
 
 // Take returns the complete events that it hasn't returned before; they are valid until the next Add.
--- a/core/stream/splitter_test.go
+++ b/core/stream/splitter_test.go
@@ -56,6 +56,38 @@
 	}
 }
 
+// TestForeign guards against text between events, such as an error page or another response, that passes as an event.
+func TestForeign(t *testing.T) {
+	for _, test := range []struct {
+		name, last, data, complete string
+		isForeign                  bool
+	}{
+		{"events", "", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", false},
+		{"comments and other fields", "", "id: 1\ndata: x\n\n: c\n\nversions: 3\nid: 2\nevent: end\n\n", "id: 1\ndata: x\n\n: c\n\nversions: 3\nid: 2\nevent: end\n\n", false},
+		{"no ids at all", "", "data: x\n\ndata: y\n\n", "data: x\n\ndata: y\n\n", false},
+		{"no id after one with an id", "", "id: 1\ndata: x\n\ndata: y\n\nid: 3\ndata: z\n\n", "id: 1\ndata: x\n\n", true},
+		{"a page", "", "id: 1\ndata: x\n\n<p>failed</p>\n\n", "id: 1\ndata: x\n\n", true},
+		{"a page in place of the rest", "1", "{\"error\": 1}\r\n\r\n", "", true},
+		{"a response inside an event", "", "id: 1\ndata: x\n\nid: 2\ndaHTTP/1.1 500 x\r\nA: b\r\n\r\nfailed", "id: 1\ndata: x\n\n", true},
+		{"the rest", "1", "id: 2\ndata: y\n\n", "id: 2\ndata: y\n\n", false},
+	} {
+		for _, step := range []int{1, 4, len(test.data)} {
+			s := stream.New(stream.WithIDs(test.last))
+			var got strings.Builder
+			isForeign := false
+			for data := test.data; data != "" && !isForeign; {
+				part := data[:min(step, len(data))]
+				data = data[len(part):]
+				isForeign = errors.As(s.Add([]byte(part)), new(*stream.Foreign))
+				got.Write(s.Take())
+			}
+			if got.String() != test.complete || isForeign != test.isForeign {
+				t.Errorf("%s by %d bytes: got %q, foreign %v, want %q, %v", test.name, step, got.String(), isForeign, test.complete, test.isForeign)
+			}
+		}
+	}
+}
+
 // TestEventWithoutEnd checks that no more than MaxEventBytes are collected of an event.
 func TestEventWithoutEnd(t *testing.T) {
 	s := stream.New()
--- a/io/entry/sink.go
+++ b/io/entry/sink.go
@@ -45,7 +45,7 @@
 	}
 	s.status, s.contentType = status, contentType
 	if mediaType, _, err := mime.ParseMediaType(contentType); status == http.StatusOK && err == nil && mediaType == "text/event-stream" {
-		s.events = stream.New()
+		s.events = stream.New(stream.WithData())
 	}
 }
 
@@ -70,7 +70,7 @@
 		s.body = append(s.body, p...)
 		return nil
 	}
-	tooLarge := s.events.Add(p)
+	unsound := s.events.Add(p)
 	if events := s.events.Take(); len(events) > 0 {
 		s.sendHeader()
 		s.hasDone = s.hasDone || endsWithDone(events)
@@ -78,7 +78,10 @@
 			return err
 		}
 	}
-	if tooLarge != nil {
+	if errors.As(unsound, new(*stream.Foreign)) {
+		return &incompleteError{lacks: "event where one is due"}
+	}
+	if unsound != nil {
 		return &tooLargeError{}
 	}
 	return nil
--- a/io/entry/sink_test.go
+++ b/io/entry/sink_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"pimentoseam/io/server"
 )
@@ -111,3 +112,30 @@
 		t.Errorf("got %d %v %q", w.Code, w.Header(), w.Body)
 	}
 }
+
+// TestErrorInStream guards against the text of an error in the middle of a stream that has begun, and against a stream with such
+// a text that ends as if it were complete.
+func TestErrorInStream(t *testing.T) {
+	const begun = "data: {\"x\": 1}\n\n"
+	for _, text := range []string{
+		"HTTP/1.1 500 broken-text\r\nA: b\r\n\r\nfail", "{\"error\": \"broken-text\"}\n\n", "daHTTP/1.1 503 broken-text\r\n\r\n", "<p>broken-text</p>\n\n" + begun + "data: [DONE]\n\n",
+	} {
+		w := httptest.NewRecorder()
+		out := &eventSink{w: w, stream: (&server.Server{}).Stream(w)}
+		out.writeHeader(http.StatusOK, "text/event-stream")
+		if err := out.write([]byte(begun)); err != nil {
+			t.Fatal(err)
+		}
+		err := out.write([]byte(text))
+		if err == nil {
+			err = out.end()
+		}
+		if incomplete := new(incompleteError); !errors.As(err, &incomplete) || w.Body.String() != begun {
+			t.Errorf("%q: got %v and sent %q, want an *incompleteError and the first event", text, err, w.Body)
+		}
+		q := &request{sink: out, deadline: time.Now().Add(time.Minute)}
+		if q.mayRetry(*sinkOutcome(err)) {
+			t.Error("another answer may follow a stream that has begun")
+		}
+	}
+}
--- a/io/gate/broken_test.go
+++ b/io/gate/broken_test.go
@@ -48,6 +48,11 @@
 		{"reset", reset},
 		{"another request's answer", respond(200, "id: 2\ndata: x\n\n", "X-Response-Seal", "s", "X-Attempt-Id", "other")},
 		{"no response in the protocol", answerRaw("\x00\x01 nonsense\r\n\r\n")},
+		{"failure with a text that looks like events", respond(500, "id: 2\ndata: broken-text\n\n", "X-Response-Seal", "s", "Content-Type", "text/event-stream")},
+		{"too many requests", respond(429, "broken-text\n\n", "X-Response-Seal", "s")},
+		{"error with the status of a success", respond(200, "{\"error\": \"broken-text\"}\n\n", "X-Response-Seal", "s", "Content-Type", "application/json")},
+		{"error page with the status of a success", respond(200, "<p>broken-text</p>\r\n\r\n", "X-Response-Seal", "s", "Content-Type", "text/html; charset=utf-8")},
+		{"a second head in the body", answerRaw("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\nContent-Length: 72\r\n\r\nHTTP/1.1 500 broken-text\r\nContent-Length: 4\r\nContent-Type: a\r\n\r\nfail")},
 		{"half an event without a length", answerRaw("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n\r\nid: 2\nda")},
 	}
 	for i, test := range tests {
@@ -80,6 +85,9 @@
 			if resp != nil && resp.StatusCode == http.StatusOK {
 				t.Errorf("the caller got a short body that looks complete: %q", body)
 			}
+			if strings.Contains(body, "broken-text") {
+				t.Errorf("the caller got the text of the error: %q", body)
+			}
 		})
 	}
 }
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -170,14 +170,14 @@
 		return maybeRun
 	}
 	x.possibleRuns++
-	events, sentBefore := stream.New(), x.events
+	events, sentBefore := stream.New(stream.WithIDs(x.lastEventID)), x.events
 	var timer pace.Timer
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := resp.Read(buffer)
 		u.lastReceived.Store(proc.Uptime())
-		if tooLarge := events.Add(buffer[:n]); tooLarge != nil {
-			err = tooLarge
+		if unsound := events.Add(buffer[:n]); unsound != nil {
+			err = unsound
 		}
 		if events.Count() > 0 && !x.begun {
 			x.countBegun(resp)
