gate: a silent engine keeps its work unless the repeat elsewhere is already granted

Cause: the watch of a silent engine looked whether the budget has a repeat left, cancelled the attempt and took the repeat later. Many attempts at one engine meet the same silence at the same moment, all see the one repeat that is left, and all but one then end as exhausted. Class: a check and its use apart. Change: the watch takes the grant before it cancels, and the next call uses it; an attempt that ends by itself meanwhile returns it.

--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -137,6 +137,7 @@
 	x.countShare()
 	defer x.endTrial()
 	defer x.endPartTrial()
+	defer x.returnGrant()
 	outcome := blocked
 	if x.mayRun(ctx) {
 		outcome = x.runAt(ctx, x.table.Services[x.service])
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -285,14 +284,12 @@
 		return exhausted
 	}
 	defer decodeEngine.addDecode(x.call.PromptTokens+x.call.MaxOutputTokens, x.priority)()
-	attemptCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	if x.route.IsRepeatable() && x.possibleRuns+1 < x.route.MaxAttempts {
-		go decodeEngine.watchStall(attemptCtx, delay, x.canRepeat(decodeEngine), stop)
-	}
+	attemptCtx, watch := x.watchStall(ctx, decodeEngine, delay, x.route.IsRepeatable() && x.possibleRuns+1 < x.route.MaxAttempts)
 	began := time.Now()
 	outcome := x.attempt(attemptCtx, decodeEngine, dispatch)
-	if outcome == abandoned && attemptCtx.Err() != nil && x.handleStall(ctx, decodeEngine, id, began) {
+	if grant := watch.end(); outcome != abandoned {
+		grant.Return()
+	} else if x.handleStall(ctx, decodeEngine, id, began, grant) {
 		outcome = maybeRun
 	}
 	if outcome == done {
@@ -331,39 +328,6 @@
 	g.log.Info("freed", "id", request, "upstream", instance, "handle", handle.ID, "status", status, "err", err)
 }
 
-// canRepeat returns a function that reports whether the request could be sent to an engine other than the present one and
-// those already tried. A silent engine may only be slow, so its work is not given up for nothing.
-func (x *exchange) canRepeat(present *upstream) func() bool {
-	tried := maps.Clone(x.tried) // The function runs beside the attempt.
-	tried[present] = true
-	return func() bool {
-		if !x.budget.HasRetry() {
-			return false
-		}
-		for _, u := range x.gate.snapshot.Load().services[x.service] {
-			if tried[u] || !u.isUsable() || u.isLeaving() || u.info.Load().Role == member.Prefill {
-				continue
-			}
-			if !x.gate.isLimited(u) {
-				return true
-			}
-		}
-		return false
-	}
-}
-
-// handleStall reports whether an attempt was cancelled because its engine stalled. If so, it opens the engine's
-// circuit breaker.
-func (x *exchange) handleStall(ctx context.Context, u *upstream, id string, began time.Time) bool {
-	if ctx.Err() != nil || x.callerDisconnected() {
-		return false
-	}
-	x.gate.log.Warn("engine stalled", "id", x.call.ID, "upstream", id, "events", x.events, "took", time.Since(began))
-	u.breaker.Trip()
-	x.cause = repeat.Stalled
-	return true
-}
-
 // prefill has an engine process the prompt and returns the handle of its KV cache.
 func (x *exchange) prefill(ctx context.Context, engines map[string]*upstream, choice place.Choice) (call.Handle, result) {
 	prefillEngine := engines[choice.Prefill.ID]
@@ -377,15 +341,14 @@
 		dispatch.FetchFrom = engines[choice.FetchFrom.ID].info.Load().Addr
 	}
 	possibleRuns, delivered, began := x.possibleRuns, x.delivered, time.Now()
-	attemptCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	go prefillEngine.watchStall(attemptCtx, choice.PrefillTime, x.canRepeat(prefillEngine), stop)
+	attemptCtx, watch := x.watchStall(ctx, prefillEngine, choice.PrefillTime, true)
+	defer func() { watch.end().Return() }()
 	resp, outcome := x.roundTrip(attemptCtx, prefillEngine, dispatch)
 	if resp == nil {
 		// Prefill is safe to repeat, so a failure doesn't count as a run of the request.
 		x.possibleRuns = possibleRuns
 		x.tried[prefillEngine] = true
-		if outcome == abandoned && attemptCtx.Err() != nil && x.handleStall(ctx, prefillEngine, choice.Prefill.ID, began) {
+		if outcome == abandoned && x.handleStall(ctx, prefillEngine, choice.Prefill.ID, began, watch.end()) {
 			outcome = maybeRun
 		}
 		if outcome == maybeRun {
--- a/io/gate/repeat.go
+++ b/io/gate/repeat.go
@@ -14,8 +14,9 @@
 	if !x.account.MayRepeat(phase) {
 		return true
 	}
-	x.returnGrant()
-	x.grant = x.budget.TakeRetry()
+	if x.grant == nil {
+		x.grant = x.budget.TakeRetry()
+	}
 	return x.grant != nil
 }
 
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -143,35 +142,6 @@
 	u.pausedUntil.Store(proc.Uptime() + int64(pauseTime))
 }
 
-// stallTimeout is the silence, beyond the estimated time of its work, after which an engine is considered stalled.
-// A live engine responds to several prompts a second.
-const stallTimeout = time.Second
-
-// stallCheckInterval is how often it is checked whether the work of a stalled engine can be repeated elsewhere.
-const stallCheckInterval = 200 * time.Millisecond
-
-// watchStall calls onStall once the upstream has been silent for longer than stallTimeout plus the estimated time
-// of the work that is sent to it now, and the work can be repeated elsewhere, unless ctx ends first.
-func (u *upstream) watchStall(ctx context.Context, work time.Duration, canRepeat func() bool, onStall func()) {
-	limit, sent := stallTimeout+work, proc.Uptime()
-	wait := limit
-	for {
-		proc.Sleep(ctx, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		wait = limit - time.Duration(proc.Uptime()-max(sent, u.lastReceived.Load()))
-		if wait > 0 {
-			continue
-		}
-		if canRepeat() {
-			onStall()
-			return
-		}
-		wait = stallCheckInterval
-	}
-}
-
 // isPaused reports whether the upstream is paused.
 func (u *upstream) isPaused() bool {
 	return proc.Uptime() < u.pausedUntil.Load()
