--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -112,4 +112,11 @@
 mutant same-order io/tend TestOrderThatCrashesEngine io/tend/tend.go 's/if o\.crashes == 0/if o.crashes >= 0/'
 mutant no-guard io/gossip TestDatagramThatPanics io/proc/guard.go 's/:= recover\(\)/:= any(nil)/'
 mutant engines-only io/fleet TestRequestThatCrashesServices io/agent/crash.go 's/if !a\.isDown\(\)/if a.settings.Kind != "model" || !a.isDown()/'
+mutant open-reserve core/budget TestRestarts core/budget/budget.go 's/if b\.isFirst \|\| time/if true || time/'
+mutant full-at-start core/budget TestRestarts core/budget/budget.go 's/\topt\(b\)\n\t\}\n/\topt(b)\n\t}\n\tb.earned = b.maxEarned()\n/'
+mutant free-after-prompt io/gate TestUnreadPrompts core/repeat/account.go 's/phase == Read && accepted:/phase == Read:/'
+mutant kept-connection io/gate TestOldRefusal io/client/pool.go 's/!r\.IsRepeat\)/true)/'
+mutant any-refusal io/engine TestOldRefusal io/engine/client.go 's/return reused && resp/return false && resp/'
+mutant whole-list io/vmlist TestOddEntries io/vmlist/client.go 's/\t\t\tc\.onOdd\(i, err\)\n\t\t\tcontinue/\t\t\treturn nil, false, err/'
+mutant any-text io/gate TestBrokenStream core/stream/splitter.go 's/s\.inEvent && \(lacksID/false \&\& s.inEvent \&\& (lacksID/'
 exit $bad
