--- a/io/gate/soaklost_test.go
+++ b/io/gate/soaklost_test.go
@@ -113,6 +113,11 @@
 	replica string
 }
 
+// String returns the replica, the time and the status.
+func (a *soakArrival) String() string {
+	return fmt.Sprintf("%s %s +%v status %d", a.replica, a.Begun.Format(time.StampMilli), a.Ended.Sub(a.Begun), a.Status)
+}
+
 // arrive returns a function that records the arrivals at a replica.
 func (c *soakCluster) arrive(replica, service string) func(*simop.Arrival) {
 	tally := c.repeats.arrive(service)
