gate: the watch of a silent engine ends without a wait; soak: clusters have addresses of their own

The attempt no longer waits for the watch's goroutine; whether it goes on and the grant are under one lock. A process that ends by itself has its log printed.

--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -69,12 +69,22 @@
 	return err != nil || info.Signo != 0
 }
 
+// lastLog returns the end of the process's log.
+func (p *process) lastLog() string {
+	const size = 2 << 10
+	data, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-size):])
+}
+
 // end sends a terminating signal and waits until the process has exited.
 func (p *process) end(t *testing.T, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hasExited() {
-		t.Errorf("%s ended by itself", strings.Join(p.args, " "))
+		t.Errorf("%s ended by itself: %s", strings.Join(p.args, " "), p.lastLog())
 	}
 	_ = p.cmd.Process.Signal(s) // Fails only if the process has exited already.
 	_ = p.cmd.Wait()            // A killed process always returns an error.
@@ -90,6 +100,7 @@
 // soakCluster runs gates and agents as processes of their own against a simulated platform.
 type soakCluster struct {
 	t           *testing.T
+	number      int // Of the cluster in this test process.
 	store       *simop.Store
 	gates       []*process
 	settings    []*setup.Gate
@@ -206,6 +217,9 @@
 	c.verify(faultsEndedAt, recoveredAt)
 }
 
+// clusters is the number of clusters that this test process has started.
+var clusters atomic.Int64
+
 // buildBinary builds the program with the race detector and returns its path.
 func buildBinary(t *testing.T) string {
 	t.Helper()
@@ -224,7 +238,7 @@
 	if keep := os.Getenv("KEEP"); keep != "" {
 		logs = keep
 	}
-	c := &soakCluster{t: t, store: newStore(t), served: make(map[string]int64), faults: make(faultLog), arrivals: make(map[string][]*soakArrival), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
+	c := &soakCluster{t: t, number: int(clusters.Add(1)), store: newStore(t), served: make(map[string]int64), faults: make(faultLog), arrivals: make(map[string][]*soakArrival), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
 	t.Cleanup(c.stopEngines)
 	c.configure()
 	peer := freeAddrs(t, 1)[0].Port()
@@ -255,7 +269,7 @@
 	}
 	for i := range enginesPerSize * size {
 		stage := []string{"prefill", "decode"}[i%2]
-		l, err := net.Listen("tcp", netip.AddrPortFrom(soakHost(3, i), 0).String())
+		l, err := net.Listen("tcp", netip.AddrPortFrom(c.host(3, i), 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -278,7 +292,7 @@
 		set.Name, set.Zone, set.Store = fmt.Sprintf("gate-%d", i), []string{"east", "west"}[i%2], relay.Addr()
 		// Each gate has an IP address of its own. Otherwise an outgoing connection of another process could take
 		// one of its ports while it is down.
-		host := soakHost(4, i)
+		host := c.host(4, i)
 		for _, addr := range []*netip.AddrPort{&set.Listen, &set.Ready, &set.Share, &set.Debug} {
 			*addr = netip.AddrPortFrom(host, addr.Port())
 		}
@@ -292,11 +306,11 @@
 	return c
 }
 
-// soakHost returns the loopback address of the i-th process of a group. Runs at the same time have different ones, since
-// ports are chosen before the processes listen on them.
-func soakHost(group, i int) netip.Addr {
-	const maxRuns = 250
-	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%maxRuns), byte(group), byte(1 + i)})
+// host returns the loopback address of the i-th process of a group. Clusters at the same time have different ones, also those of
+// other test processes, since ports are chosen before the processes listen on them.
+func (c *soakCluster) host(group, i int) netip.Addr {
+	const maxRuns, groups = 250, 8
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%maxRuns), byte(groups*(c.number%(maxRuns/groups)) + group), byte(1 + i)})
 }
 
 // configure writes the next configuration version. Only this version has a route with the prefix /genVERSION/.
@@ -307,7 +321,7 @@
 
 // addApp starts and registers a replica of the app service behind a relay.
 func (c *soakCluster) addApp(n int) {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(soakHost(5, n%250), 0).String())
+	l, err := net.Listen("tcp", netip.AddrPortFrom(c.host(5, n%250), 0).String())
 	if err != nil {
 		c.t.Error(err)
 		return
--- a/io/gate/stall.go
+++ b/io/gate/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"pimentoseam/core/budget"
@@ -21,8 +22,10 @@
 // stallWatch cancels an attempt once its engine has stalled and another one may have the work.
 type stallWatch struct {
 	cancel context.CancelFunc
-	done   chan struct{} // Closed when the watch has ended.
-	grant  *budget.Grant // For the repeat elsewhere; nil unless the attempt was cancelled. Valid once done is closed.
+
+	mu      sync.Mutex
+	isEnded bool
+	grant   *budget.Grant // For the repeat elsewhere; nil unless the attempt is cancelled.
 }
 
 // watchStall returns the context of an attempt at an engine, whose work is expected to take a time. The attempt is cancelled once
@@ -30,47 +33,56 @@
 // is false. end must be called after the attempt.
 func (x *exchange) watchStall(ctx context.Context, u *upstream, work time.Duration, mayMove bool) (context.Context, *stallWatch) {
 	attemptCtx, cancel := context.WithCancel(ctx)
-	w := &stallWatch{cancel: cancel, done: make(chan struct{})}
-	if !mayMove {
-		close(w.done)
-		return attemptCtx, w
+	w := &stallWatch{cancel: cancel}
+	if mayMove {
+		takeRepeat := x.takeRepeat(u)
+		go u.awaitStall(attemptCtx, work, func() bool { return w.fire(takeRepeat) })
 	}
-	takeRepeat := x.takeRepeat(u)
-	go func() {
-		defer close(w.done)
-		if w.grant = u.awaitStall(attemptCtx, work, takeRepeat); w.grant != nil {
-			cancel()
-		}
-	}()
 	return attemptCtx, w
 }
 
+// fire cancels the attempt if it goes on and takeRepeat grants a repeat, and reports whether it did.
+func (w *stallWatch) fire(takeRepeat func() *budget.Grant) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isEnded {
+		return false
+	}
+	if w.grant = takeRepeat(); w.grant == nil {
+		return false
+	}
+	w.cancel()
+	return true
+}
+
 // end ends the watch and, the first time, returns the grant for a repeat elsewhere, nil if the attempt was not cancelled. The
 // response must be closed before, or its connection is not reused.
 func (w *stallWatch) end() *budget.Grant {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isEnded = true
 	w.cancel()
-	<-w.done
 	grant := w.grant
 	w.grant = nil
 	return grant
 }
 
-// awaitStall returns what takeRepeat returns, once that isn't nil and the upstream has been silent for longer than stallTimeout
-// plus the estimated time of the work that is sent to it now; nil if ctx ends first.
-func (u *upstream) awaitStall(ctx context.Context, work time.Duration, takeRepeat func() *budget.Grant) *budget.Grant {
+// awaitStall calls onStall once the upstream has been silent for longer than stallTimeout plus the estimated time of the work that
+// is sent to it now, and again until that returns true or ctx ends.
+func (u *upstream) awaitStall(ctx context.Context, work time.Duration, onStall func() bool) {
 	limit, sent := stallTimeout+work, proc.Uptime()
 	wait := limit
 	for {
 		proc.Sleep(ctx, wait)
 		if ctx.Err() != nil {
-			return nil
+			return
 		}
 		wait = limit - time.Duration(proc.Uptime()-max(sent, u.lastReceived.Load()))
 		if wait > 0 {
 			continue
 		}
-		if grant := takeRepeat(); grant != nil {
-			return grant
+		if onStall() {
+			return
 		}
 		wait = stallCheckInterval
 	}
