--- a/core/stream/splitter.go
+++ b/core/stream/splitter.go
@@ -51,6 +51,7 @@
 	inEvent   bool // A field of the present event has been read.
 	hasID     bool // The present event has an id.
 	hasData   bool // The present event has data or a type.
+	hasRetry  bool // The present event sets the time after which to reconnect; it may have nothing else.
 	needsData bool // See WithData.
 	hasIDs    bool // See WithIDs.
 	needsID   bool // Events without an id are foreign from here on.
@@ -135,6 +136,7 @@
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.hasID, s.id = true, string(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		s.hasRetry = s.hasRetry || bytes.HasPrefix(line, []byte("retry:"))
 		s.hasData = s.hasData || bytes.HasPrefix(line, []byte("data:")) || bytes.HasPrefix(line, []byte("event:"))
 	}
 }
@@ -142,7 +144,8 @@
 // endEvent handles the empty line that ends an event, if there is one.
 func (s *Splitter) endEvent() {
 	lacksID, lacksData := s.needsID && !s.hasID, (s.needsID || s.needsData) && !s.hasData
-	if s.inEvent && (lacksID || lacksData) {
+	isControl := s.hasRetry && !s.hasData
+	if s.inEvent && !isControl && (lacksID || lacksData) {
 		s.isForeign = true
 		return
 	}
@@ -152,7 +155,7 @@
 	if s.inEvent {
 		s.count++
 	}
-	s.inEvent, s.hasID, s.hasData = false, false, false
+	s.inEvent, s.hasID, s.hasData, s.hasRetry = false, false, false, false
 }
 
 // Take returns the complete events that it hasn't returned before; they are valid until the next Add.
--- a/core/stream/splitter_test.go
+++ b/core/stream/splitter_test.go
@@ -64,6 +64,7 @@
 	}{
 		{"events", "", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", false},
 		{"comments and other fields", "", "id: 1\ndata: x\n\n: c\n\nversions: 3\nid: 2\nevent: end\n\n", "id: 1\ndata: x\n\n: c\n\nversions: 3\nid: 2\nevent: end\n\n", false},
+		{"a time to reconnect", "1", "retry: 3000\n\nid: 2\ndata: y\n\n", "retry: 3000\n\nid: 2\ndata: y\n\n", false},
 		{"no ids at all", "", "data: x\n\ndata: y\n\n", "data: x\n\ndata: y\n\n", false},
 		{"no id after one with an id", "", "id: 1\ndata: x\n\ndata: y\n\nid: 3\ndata: z\n\n", "id: 1\ndata: x\n\n", true},
 		{"a page", "", "id: 1\ndata: x\n\n<p>failed</p>\n\n", "id: 1\ndata: x\n\n", true},
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -118,5 +118,5 @@
 mutant kept-connection io/gate TestOldRefusal io/client/pool.go 's/!r\.IsRepeat\)/true)/'
 mutant any-refusal io/engine TestOldRefusal io/engine/client.go 's/return reused && resp/return false && resp/'
 mutant odd-list io/vmlist TestOddEntries io/vmlist/client.go 's/c\.onOdd\(i, err\)\n\t\t\tcontinue/c.onOdd(i, err)\n\t\t\treturn nil, false, err/'
-mutant any-text io/gate TestBrokenStream core/stream/splitter.go 's/s\.inEvent && \(lacksID/false \&\& s.inEvent \&\& (lacksID/'
+mutant any-text io/gate TestBrokenStream core/stream/splitter.go 's/s\.inEvent && !isControl/false \&\& !isControl/'
 exit $bad
