gate: a repeat that isn't granted has a line; lines tell which part of the budget grants

A repeat had a line, but the ones that the budget didn't allow had none, nor did a line tell whether the earned part or the reserve granted it and whether the reserve was still closed. So the price of the bound couldn't be read from the logs. Each has a line and a count now; TestUnreadPrompts compares the lines with the arrivals.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -100,6 +100,27 @@
 	isReserve bool
 }
 
+// Part names a part of a Budget.
+type Part string
+
+// The parts of a Budget, and None for a retry that no part grants.
+const (
+	Earned  Part = "earned"
+	Reserve Part = "reserve"
+	None    Part = "none"
+)
+
+// Part returns the part of the budget that the grant is from; None for nil.
+func (g *Grant) Part() Part {
+	switch {
+	case g == nil:
+		return None
+	case g.isReserve:
+		return Reserve
+	}
+	return Earned
+}
+
 // TakeRetry counts a retry and returns its permission, or nil if the request may not be sent again.
 func (b *Budget) TakeRetry() *Grant {
 	b.mu.Lock()
@@ -144,6 +165,7 @@
 	Retries  int
 	Earned   float64 // Retries that the earned part holds.
 	Reserve  float64 // Retries that the reserve allows now.
+	IsClosed bool    // The reserve is closed since the process has just started.
 	Entries  int     // Number of entries that divide the slack.
 }
 
@@ -156,7 +178,9 @@
 
 // usage returns the state in the window that ends with the current bucket.
 func (b *Budget) usage(current *bucket) Usage {
-	u := Usage{Earned: b.earned, Entries: b.entries}
+	// A retry that the process before has sent last may arrive a little later than its end.
+	isClosed := !b.isFirst && time.Since(b.start) <= b.window+b.bucketWidth
+	u := Usage{Earned: b.earned, Entries: b.entries, IsClosed: isClosed}
 	used := 0
 	for _, k := range b.buckets {
 		if k.index > current.index-int64(len(b.buckets)) {
@@ -165,8 +189,7 @@
 			used += k.reserve
 		}
 	}
-	// A retry that the process before has sent last may arrive a little later than its end.
-	if b.isFirst || time.Since(b.start) > b.window+b.bucketWidth {
+	if !isClosed {
 		u.Reserve = (1-safetyMargin-b.share())*(b.ratio*float64(u.Requests)+b.slack/float64(b.entries)) - float64(used)
 	}
 	return u
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -115,8 +115,8 @@
 func TestStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := budget.New(0.2, 56, 10*time.Second)
-		if hasRetry(b) {
-			t.Error("a retry before the first request")
+		if hasRetry(b) || !b.Usage().IsClosed {
+			t.Error("a retry before the first request, or an open reserve")
 		}
 		for range 100 {
 			b.RecordRequest()
@@ -129,8 +129,8 @@
 			t.Errorf("%d retries after 100 requests, want 8: 0.5 x 0.85 x 0.2 of them", n)
 		}
 		time.Sleep(11 * time.Second)
-		if !hasRetry(b) {
-			t.Error("no retry of the reserve after a window")
+		if g := b.TakeRetry(); g.Part() != budget.Reserve || b.Usage().IsClosed {
+			t.Errorf("a retry after a window is from %q, want the reserve", g.Part())
 		}
 	})
 }
--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -284,7 +284,7 @@
 		return exhausted
 	}
 	defer decodeEngine.addDecode(x.call.PromptTokens+x.call.MaxOutputTokens, x.priority)()
-	attemptCtx, watch := x.watchStall(ctx, decodeEngine, delay, x.route.IsRepeatable() && x.possibleRuns+1 < x.route.MaxAttempts)
+	attemptCtx, watch := x.watchStall(ctx, decodeEngine, repeat.Run, delay, x.route.IsRepeatable() && x.possibleRuns+1 < x.route.MaxAttempts)
 	began := time.Now()
 	outcome := x.attempt(attemptCtx, decodeEngine, dispatch)
 	if grant := watch.end(); outcome != abandoned {
@@ -341,7 +341,7 @@
 		dispatch.FetchFrom = engines[choice.FetchFrom.ID].info.Load().Addr
 	}
 	possibleRuns, delivered, began := x.possibleRuns, x.delivered, time.Now()
-	attemptCtx, watch := x.watchStall(ctx, prefillEngine, choice.PrefillTime, true)
+	attemptCtx, watch := x.watchStall(ctx, prefillEngine, repeat.Read, choice.PrefillTime, true)
 	defer func() { watch.end().Return() }()
 	resp, outcome := x.roundTrip(attemptCtx, prefillEngine, dispatch)
 	if resp == nil {
--- a/io/gate/repeat.go
+++ b/io/gate/repeat.go
@@ -1,9 +1,11 @@
 package gate
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
 
+	"pimentoseam/core/budget"
 	"pimentoseam/core/call"
 	"pimentoseam/core/repeat"
 )
@@ -17,9 +19,26 @@
 	if x.grant == nil {
 		x.grant = x.budget.TakeRetry()
 	}
+	if x.grant == nil {
+		x.logNotGranted(phase, x.cause)
+	}
 	return x.grant != nil
 }
 
+// repeatLog returns a log for a repeat of the request, with the state of the budget. It may be called beside an attempt.
+func (x *exchange) repeatLog(phase repeat.Phase, cause repeat.Cause, grant *budget.Grant) *slog.Logger {
+	usage := x.budget.Usage()
+	return x.gate.log.With("id", x.call.ID, "service", x.service, "phase", phase, "cause", cause, "part", grant.Part(), "used", usage.Retries,
+		"earned", usage.Earned, "reserve", usage.Reserve, "closed", usage.IsClosed, "requests", usage.Requests, "entries", usage.Entries, "uptime", time.Since(x.gate.started))
+}
+
+// logNotGranted records that the budget doesn't allow a repeat.
+func (x *exchange) logNotGranted(phase repeat.Phase, cause repeat.Cause) {
+	x.gate.meter.Count("repeats not granted")
+	x.gate.meter.Count("repeats not granted " + x.service)
+	x.repeatLog(phase, cause, nil).Info("repeat not granted")
+}
+
 // returnGrant returns the grant of a repeat that was not made.
 func (x *exchange) returnGrant() {
 	x.grant.Return()
@@ -38,9 +57,7 @@
 	}
 	x.gate.meter.Count("repeats")
 	x.gate.meter.Count("repeats " + x.service)
-	usage := x.budget.Usage()
-	x.gate.log.Info("repeat", "id", x.call.ID, "service", x.service, "upstream", dispatch.Instance, "phase", phase, "cause", x.cause, "granted", x.grant != nil,
-		"used", usage.Retries, "earned", usage.Earned, "reserve", usage.Reserve, "requests", usage.Requests, "entries", usage.Entries, "uptime", time.Since(x.gate.started))
+	x.repeatLog(phase, x.cause, x.grant).Info("repeat", "upstream", dispatch.Instance, "granted", x.grant != nil)
 	x.grant = nil
 }
 
--- a/io/gate/repeats_test.go
+++ b/io/gate/repeats_test.go
@@ -242,7 +242,8 @@
 				t.Cleanup(d.Close)
 				replicas = append(replicas, p, d)
 			}
-			g := startWithSettings(t, store, set, replicas...)
+			log := &logRecorder{}
+			g := startWithLog(t, store, set, log, replicas...)
 			g.waitReady(t)
 			for i := range 40 {
 				tally.send("lm")
@@ -250,6 +251,10 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 			tally.check(t, 0, slack)
+			granted, refused := log.countLines("msg=repeat "), log.countLines(`msg="repeat not granted"`)
+			if repeats := len(tally.repeats("lm")); granted != repeats || refused == 0 {
+				t.Errorf("%d lines of %d repeats, %d of repeats not granted", granted, repeats, refused)
+			}
 		})
 	}
 }
--- a/io/gate/stall.go
+++ b/io/gate/stall.go
@@ -31,11 +31,11 @@
 // watchStall returns the context of an attempt at an engine, whose work is expected to take a time. The attempt is cancelled once
 // the engine has been silent for longer than stallTimeout plus that time and the work can be repeated elsewhere, unless mayMove
 // is false. end must be called after the attempt.
-func (x *exchange) watchStall(ctx context.Context, u *upstream, work time.Duration, mayMove bool) (context.Context, *stallWatch) {
+func (x *exchange) watchStall(ctx context.Context, u *upstream, phase repeat.Phase, work time.Duration, mayMove bool) (context.Context, *stallWatch) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	w := &stallWatch{cancel: cancel}
 	if mayMove {
-		takeRepeat := x.takeRepeat(u)
+		takeRepeat := x.takeRepeat(u, phase)
 		go u.awaitStall(attemptCtx, work, func() bool { return w.fire(takeRepeat) })
 	}
 	return attemptCtx, w
@@ -90,17 +90,24 @@
 
 // takeRepeat returns a function that takes the permission for a repeat at an engine other than the present one and those already
 // tried, or returns nil if there is none. A silent engine may only be slow, so its work is not given up without one.
-func (x *exchange) takeRepeat(present *upstream) func() *budget.Grant {
+func (x *exchange) takeRepeat(present *upstream, phase repeat.Phase) func() *budget.Grant {
 	tried := maps.Clone(x.tried) // The function runs beside the attempt.
 	tried[present] = true
+	isLogged := false
 	return func() *budget.Grant {
 		for _, u := range x.gate.snapshot.Load().services[x.service] {
 			if tried[u] || !u.isUsable() || u.isLeaving() || u.info.Load().Role == member.Prefill {
 				continue
 			}
-			if !x.gate.isLimited(u) {
-				return x.budget.TakeRetry()
+			if x.gate.isLimited(u) {
+				continue
+			}
+			grant := x.budget.TakeRetry()
+			if grant == nil && !isLogged {
+				isLogged = true // The function is called again and again.
+				x.logNotGranted(phase, repeat.Stalled)
 			}
+			return grant
 		}
 		return nil
 	}
