gate: in a planned stop, nothing is passed on that may not end in it

Cause: after SIGTERM a request was treated as ever; nothing told it how long the process goes on. Class: a promise to run that doesn't know its end.

A late request is passed on only if its time limit fits; otherwise it is refused at once, with Retry-After, before an upstream gets it, also where its prompt was read apart or it waits for room. Upstreams are told no more time than is left.

--- a/io/gate/duty.go
+++ b/io/gate/duty.go
@@ -171,5 +171,5 @@
 
 // IsStopping reports whether the entry is about to exit.
 func (g dutySource) IsStopping() bool {
-	return g.stopping.Load()
+	return g.stop.isStopping()
 }
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -121,6 +121,7 @@
 	refused   result = "refused"   // The caller has got a response that tells it when to retry.
 	blocked   result = "blocked"   // No further attempt is made, because prompts with the same parts, or the request, crash upstreams.
 	noShare   result = "no share"  // Not sent, because all upstreams are full and its organisation has had its fair share.
+	stopping  result = "stopping"  // Not sent, because the process may end before the upstream has answered.
 	limited   result = "limited"   // No further attempt is made, because the upstreams are at the limits that they have named.
 	// exhausted means that no further attempt is made, because the retry budget is used up or there is no engine to
 	// decode. An earlier attempt may have run.
@@ -129,7 +130,7 @@
 
 // run serves the request.
 func (x *exchange) run() {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	ctx, cancel := x.withStop(x.r.Context())
 	defer cancel()
 	x.lastEventID = x.call.LastEventID
 	x.onResponse = func() {}
@@ -142,7 +143,11 @@
 	if x.mayRun(ctx) {
 		outcome = x.runAt(ctx, x.table.Services[x.service])
 	}
-	if outcome != done && outcome != refused {
+	switch outcome {
+	case done, refused:
+	case stopping:
+		x.refuseStopping()
+	default:
 		x.fail(ctx, outcome)
 	}
 }
@@ -344,9 +349,12 @@
 	if !x.mayBeSent(ctx) {
 		return nil, blocked
 	}
+	if !x.mayBegin() {
+		return nil, stopping
+	}
 	info := u.info.Load()
 	dispatch.Instance, x.lastUpstream = info.ID, info.ID
-	dispatch.Remaining, dispatch.Organisation = time.Until(x.deadline), x.organisation
+	dispatch.Remaining, dispatch.Organisation = time.Until(x.gate.stop.period.Load().Bound(x.deadline)), x.organisation
 	// An answer to another request may have asked for a pause since the upstream was chosen.
 	if u.refusingFor() > 0 || !x.usePermit(u) || !x.allow(u) {
 		x.rejections++
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -44,11 +44,6 @@
 	configPause   = 50 * time.Millisecond
 	memberPause   = 350 * time.Millisecond
 	sweepInterval = 500 * time.Millisecond
-	// balancerDelay is how long the load balancer takes to stop sending new connections: two readiness probes, one
-	// per second, and the connections in transit.
-	balancerDelay = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for the exit of the process itself.
-	exitReserve = 400 * time.Millisecond
 )
 
 // Gate is an entry that routes callers' requests to upstreams.
@@ -79,7 +74,7 @@
 	duties        *duties       // Nil if the settings ask for none.
 	server        *front.Server // Serves callers; set before the goroutines that change its limits start.
 	prefillRate   rateMeter
-	stopping      atomic.Bool
+	stop          stopState
 	learnsSpeeds  atomic.Bool // Upstreams state how slow their VMs are, so that engines can differ from the stated model.
 	started       time.Time
 	beatSeq       atomic.Uint64
@@ -146,6 +141,7 @@
 		peerClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 	}
 	g.current.Store(settings)
+	g.stop.init()
 	g.gossip = gossip.New(settings.Peer, settings.Name, settings.Zone, g.log, gossipSource{g})
 	g.election = newElection(g)
 	g.permits = newPermits(g)
@@ -215,22 +211,6 @@
 	return nil
 }
 
-// shutdown waits until the load balancer sends no new connections, then closes the listener and finishes the
-// requests in progress.
-func (g *Gate) shutdown(server *front.Server) {
-	g.stopping.Store(true)
-	began := time.Now()
-	g.log.Info("stopping", "grace", g.settings().GracePeriod.Duration())
-	server.DisableKeepAlives()
-	go g.duties.handOver() // The process may be killed before the requests in progress are finished.
-	proc.Sleep(context.Background(), min(balancerDelay, g.settings().GracePeriod.Duration()/2))
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings().GracePeriod.Duration()-time.Since(began)-exitReserve)
-	defer cancel()
-	err := server.Shutdown(ctx)
-	g.duties.handOver()
-	g.log.Info("stopped", "after", time.Since(began), "err", err)
-}
-
 // registerGauges registers the gauges of this entry's state and load.
 func (g *Gate) registerGauges() {
 	g.meter.Gauge("config version", func() float64 { return float64(g.version()) })
@@ -267,7 +247,7 @@
 	switch {
 	case r.URL.Path != platform.ReadyPath:
 		w.WriteHeader(http.StatusNotFound)
-	case g.stopping.Load() || !g.isReady():
+	case g.stop.isStopping() || !g.isReady():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/io/gate/permit.go
+++ b/io/gate/permit.go
@@ -347,6 +347,8 @@
 	}
 	wait := time.Duration(x.room * float64(max(0, min(target-time.Since(x.arrived), time.Until(x.deadline)))))
 	x.waits++
+	ctx, cancel := x.untilLate(ctx)
+	defer cancel()
 	began := time.Now()
 	granted, after := x.gate.permits.ask(ctx, runOf(best.info.Load()), x.priority, wait, true)
 	x.gate.meter.Latency("limit wait", time.Since(began))
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -137,7 +137,7 @@
 	if x.isStream(resp) {
 		h.Del("Content-Length") // Another attempt may continue the stream with a body of another length.
 	}
-	if x.gate.stopping.Load() {
+	if x.gate.stop.isStopping() {
 		h.Set("Connection", "close")
 	}
 	x.headSent, x.timeToHead = true, time.Since(x.arrived)
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -77,6 +77,10 @@
 	if c.LastEventID == "" && (&shed.Request{StatedRemaining: c.Remaining, MaxStated: x.maxStatedRemaining}).IsRetry() {
 		x.priority = max(x.ownPriority, retryPriority)
 	}
+	if !x.mayBegin() {
+		x.refuseStopping()
+		return
+	}
 	if !x.readBody() {
 		return
 	}
@@ -84,6 +88,10 @@
 		g.intake.Drop(x.body)
 		x.body = nil
 	}()
+	if !x.mayBegin() {
+		x.refuseStopping()
+		return
+	}
 	x.run()
 }
 
