entry: in a planned stop, nothing is passed on that may not end in it

Change: the period of core/grace, with a setting for its length; late requests whose time limit doesn't fit are refused (as unknown if they have a key), the others get their typed failure before the process ends. io/server refuses what comes once it is idle, under the lock that counts requests, and closes within the period.

--- a/core/setup/entry.go
+++ b/core/setup/entry.go
@@ -3,8 +3,14 @@
 import (
 	_ "embed"
 	"net/netip"
+	"time"
+
+	"pimentoseam/core/span"
 )
 
+// defaultEntryGrace is the time from SIGTERM to SIGKILL of an entry whose settings don't state it.
+const defaultEntryGrace = time.Minute
+
 // Entry holds the settings of an entry process.
 type Entry struct {
 	Name      string         `json:"name"`
@@ -15,6 +21,8 @@
 	VMs       netip.AddrPort `json:"vms"`
 	Secret    string         `json:"secret"` // The secret shared with the agents.
 	TokenHash string         `json:"token"`  // The SHA-256 of the operators' token in hexadecimal.
+	// GracePeriod is the time from SIGTERM to SIGKILL.
+	GracePeriod span.Span `json:"grace,omitempty"`
 }
 
 //go:embed entry.json
@@ -22,7 +30,7 @@
 
 // ReadEntry reads and validates a settings file; its error is a *Invalid that lists every fault.
 func ReadEntry(path string) (*Entry, error) {
-	var e Entry
+	e := Entry{GracePeriod: span.Span(defaultEntryGrace)}
 	if err := read(path, entrySchema, &e); err != nil {
 		return nil, err
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 	"pimentoseam/core/blame"
 	"pimentoseam/core/crash"
 	"pimentoseam/core/event"
+	"pimentoseam/core/grace"
 	"pimentoseam/core/pick"
 	"pimentoseam/core/retry"
 	"pimentoseam/core/setup"
@@ -22,10 +23,9 @@
 )
 
 const (
-	maxEvents        = 8192             // Maximum number of events kept for the time line.
-	retryRatio       = 0.1              // Retries per first attempt.
-	shutdownGrace    = 60 * time.Second // Time for requests in progress to finish.
-	healthCheckDelay = 2 * time.Second  // Time for the load balancer to notice the failing health check.
+	maxEvents        = 8192            // Maximum number of events kept for the time line.
+	retryRatio       = 0.1             // Retries per first attempt.
+	healthCheckDelay = 2 * time.Second // Time for the load balancer to notice the failing health check.
 )
 
 // Entry serves callers and operators.
@@ -43,7 +43,8 @@
 	chooser        *pick.Chooser
 	view           atomic.Pointer[view]
 	fleet          atomic.Pointer[fleet]
-	isLeaving      atomic.Bool
+	period         atomic.Pointer[grace.Period] // Of a planned stop; nil until the signal.
+	ending         chan struct{}                // Closed when requests in progress are answered because the process ends.
 	election       *election
 	activeRequests atomic.Int64
 	linkCount      atomic.Int64  // The number of open links, which sets the heartbeat interval.
@@ -68,6 +69,7 @@
 		blame:          blame.New(),
 		crashes:        crash.New(),
 		chooser:        pick.New(),
+		ending:         make(chan struct{}),
 		catchUpSignal:  make(chan struct{}, 1),
 		upstreams:      make(map[string]*upstream),
 		previousOwners: make(map[netip.AddrPort]*upstream),
@@ -76,7 +78,7 @@
 	e.view.Store(emptyView())
 	e.fleet.Store(&fleet{})
 	e.election = newElection(e)
-	e.public = server.New(settings.Listen, e.publicRoutes())
+	e.public = server.New(settings.Listen, e.publicRoutes(), server.WithStopped(e.refuseStopped))
 	e.admin = server.New(settings.Admin, e.adminRoutes())
 	return e
 }
@@ -102,26 +104,15 @@
 	return nil
 }
 
-func (e *Entry) stop() {
-	e.isLeaving.Store(true)
-	e.events.Add("stopping", "", e.settings.Name, "")
-	e.election.resign()
-	time.Sleep(healthCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	e.public.Stop(ctx)
-	short, done := context.WithTimeout(context.Background(), time.Second)
-	defer done()
-	e.admin.Stop(short)
-	e.log.Info("stopped")
-}
-
 func (e *Entry) publicRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
 	mux.HandleFunc("GET /v1/models", e.serveModels)
 	mux.HandleFunc("GET /healthz", e.serveHealth)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.isStopping() {
+			w.Header().Set("Connection", "close")
+		}
 		// A ServeMux would decode the path for the service, and redirect callers from paths with dots or empty segments.
 		if _, _, ok := servicePath(r); ok {
 			e.serveService(w, r)
@@ -133,7 +124,7 @@
 
 // serveHealth responds with status 503 while the entry has no configuration, and from the start of its shutdown.
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if e.isLeaving.Load() || e.view.Load().revision == 0 {
+	if e.isStopping() || e.view.Load().revision == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -219,10 +219,13 @@
 
 // runAttempt sends the request to up and relays its answer to the sink.
 func (q *request) runAttempt(up *upstream) outcome {
+	if !q.mayBegin() {
+		return outcome{fault: q.stopFault(), isFinal: true}
+	}
 	q.attemptNum++
 	run := q.run
 	run.ID, run.Attempt = q.id, q.attemptNum
-	run.TotalTimeout = time.Until(q.deadline)
+	run.TotalTimeout = time.Until(q.entry.period.Load().Bound(q.deadline))
 	run.FirstTimeout = max(time.Until(q.start.Add(q.class.FirstDeadline.Duration())), 0)
 	run.Window = windowBytes
 	conn := up.link.Load()
@@ -267,5 +270,8 @@
 	now := time.Now()
 	q := &request{entry: e, caller: c, class: class, target: t, view: v, start: now, deadline: now.Add(class.TotalDeadline.Duration())}
 	q.run = frame.Run{Target: name, Caller: c.Name, Priority: class.Priority}
+	if !q.mayBegin() {
+		return nil, q.stopFault()
+	}
 	return q, nil
 }
--- a/io/entry/status.go
+++ b/io/entry/status.go
@@ -37,7 +37,7 @@
 		Revision:  e.view.Load().revision,
 		IsLeader:  e.election.isLeader(),
 		Running:   e.activeRequests.Load(),
-		IsLeaving: e.isLeaving.Load(),
+		IsLeaving: e.isStopping(),
 	}
 }
 
--- a/io/entry/transfer.go
+++ b/io/entry/transfer.go
@@ -46,6 +46,11 @@
 		case <-q.ctx.Done():
 			t.cancel()
 			return outcome{callerGone: true}
+		case <-q.entry.ending:
+			t.cancel()
+			end := t.failedOutcome("the entry is stopping", false)
+			end.fault.Kind, end.isFinal = fault.Unknown, true
+			return end
 		case <-total.C:
 			t.cancel()
 			return t.failedOutcome("the answer was not complete by its deadline", false)
@@ -113,6 +118,8 @@
 			return false
 		case <-q.ctx.Done():
 			return false
+		case <-q.entry.ending:
+			return false
 		case <-ticker.C:
 		}
 	}
--- a/io/entry/upstream.go
+++ b/io/entry/upstream.go
@@ -110,10 +110,13 @@
 	})
 }
 
-// retire closes the link once the attempts in progress have ended, at the latest after shutdownGrace.
+// maxRetireTime is how long the link to an upstream that is no longer configured stays open for the attempts in progress.
+const maxRetireTime = time.Minute
+
+// retire closes the link once the attempts in progress have ended, at the latest after maxRetireTime.
 func (u *upstream) retire() {
 	go func() {
-		deadline := time.Now().Add(shutdownGrace)
+		deadline := time.Now().Add(maxRetireTime)
 		for u.inFlight.Load() > 0 && time.Now().Before(deadline) {
 			time.Sleep(minDialWait)
 		}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"pimentoseam/core/fault"
 	"pimentoseam/io/proc"
 )
 
@@ -37,12 +38,15 @@
 	addr          netip.AddrPort
 	keepAlive     time.Duration
 	maxBody       int
+	refuse        http.HandlerFunc // Serves requests that come when the server has stopped.
 	engine        *nbhttp.Engine
-	active        sync.WaitGroup
 	stop          chan struct{}
 	streamStarted chan struct{} // Receives a value when a stream begins.
 
 	mu         sync.Mutex
+	active     int           // Requests in progress.
+	idle       chan struct{} // Closed when there are none, if Stop waits for that; else nil.
+	closing    bool          // No more requests are begun.
 	conns      map[*nbio.Conn]*connState
 	inspectors map[*nbio.Conn]*inspector
 }
@@ -60,6 +64,12 @@
 	return func(s *Server) { s.maxBody = bytes }
 }
 
+// WithStopped sets the handler of requests that come while the server stops, after all others have ended. By default they are refused as
+// not run.
+func WithStopped(refuse http.HandlerFunc) Option {
+	return func(s *Server) { s.refuse = refuse }
+}
+
 // connState is the state of one connection that has streamed a response.
 type connState struct {
 	mu           sync.Mutex
@@ -75,7 +85,7 @@
 
 // New returns a Server for handler that listens on addr after Start.
 func New(addr netip.AddrPort, handler http.Handler, opts ...Option) *Server {
-	s := &Server{addr: addr, keepAlive: defaultKeepAlive, maxBody: defaultMaxBody, conns: make(map[*nbio.Conn]*connState), inspectors: make(map[*nbio.Conn]*inspector)}
+	s := &Server{addr: addr, keepAlive: defaultKeepAlive, maxBody: defaultMaxBody, refuse: refuseStopped, conns: make(map[*nbio.Conn]*connState), inspectors: make(map[*nbio.Conn]*inspector)}
 	s.stop, s.streamStarted = make(chan struct{}), make(chan struct{}, 1)
 	for _, opt := range opts {
 		opt(s)
@@ -116,28 +126,81 @@
 	return nil
 }
 
-// Stop waits for the requests in progress, at most until ctx ends, and closes all connections.
+// Once Stop closes the connections, it waits for their end: until ctx ends, but within these limits. Outgoing connections to processes
+// that don't answer may take longer.
+const (
+	minCloseTime = 200 * time.Millisecond
+	maxCloseTime = time.Second
+)
+
+// Stop waits for the requests in progress, at most until ctx ends, and closes all connections. Requests that come after the last one
+// has ended are refused.
 func (s *Server) Stop(ctx context.Context) {
-	idle := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(idle)
-	}()
 	select {
-	case <-idle:
+	case <-s.awaitIdle():
 	case <-ctx.Done():
 	}
-	shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	closing := maxCloseTime
+	if deadline, ok := ctx.Deadline(); ok {
+		closing = min(maxCloseTime, max(minCloseTime, time.Until(deadline)))
+	}
+	shutdown, cancel := context.WithTimeout(context.Background(), closing)
 	defer cancel()
 	close(s.stop)
 	_ = s.engine.Shutdown(shutdown)
 }
 
+// awaitIdle returns a channel that is closed once no request is in progress. From then on, none is begun.
+func (s *Server) awaitIdle() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	idle := make(chan struct{})
+	s.idle = idle
+	s.closeIfIdle()
+	return idle
+}
+
+// closeIfIdle ends the wait for the requests in progress if there are none; the lock must be held.
+func (s *Server) closeIfIdle() {
+	if s.idle != nil && s.active == 0 {
+		s.closing = true
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// begin counts a request as in progress and reports whether it may be served.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.active++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	s.closeIfIdle()
+}
+
+// stoppedRetryAfter is the retry-after of requests that come when the server has stopped. Another process can serve them at once.
+const stoppedRetryAfter = 200 * time.Millisecond
+
+// refuseStopped refuses a request as not run.
+func refuseStopped(w http.ResponseWriter, _ *http.Request) {
+	WriteError(w, fault.Retry("the server has stopped", stoppedRetryAfter), "")
+}
+
 // wrap counts the requests in progress and replaces nbio's handling of Connection: close.
 func (s *Server) wrap(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.active.Add(1)
-		defer s.active.Done()
 		if r.Close {
 			// nbio would close the connection at once. Another connection can then get the same file
 			// descriptor and lose its response. So the connection is left open until the caller closes
@@ -145,6 +208,12 @@
 			r.Close = false
 			w.Header().Set("Connection", "close")
 		}
+		if !s.begin() {
+			w.Header().Set("Connection", "close")
+			s.refuse(w, r)
+			return
+		}
+		defer s.end()
 		handler.ServeHTTP(w, r)
 	})
 }
