soak: slow bodies, signals again in a stop; a cut is excused by when the last byte was sent

checkLost excused a cut at the end of the grace period by when the request was begun; the term is when it was sent, to its last byte. With bodies that end late the two differ. Each SIGTERM is followed by a SIGHUP and a second SIGTERM.

--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -39,6 +39,11 @@
 	// recoveryTime is the time after the last fault in which all gates must serve again: half of the
 	// required recovery time of twelve seconds.
 	recoveryTime = 6 * time.Second
+	// signalPause is the time after a SIGTERM until a SIGHUP and a second SIGTERM.
+	signalPause = 300 * time.Millisecond
+	// slowEvery is how many requests of a caller have one with a slow body among them, which takes up to maxSlowBody.
+	slowEvery   = 16
+	maxSlowBody = 2 * time.Second
 )
 
 // process is a gate or an agent that runs as a process of its own and can be killed, suspended and restarted.
@@ -87,7 +92,13 @@
 		t.Errorf("%s ended by itself: %s", strings.Join(p.args, " "), p.lastLog())
 	}
 	_ = p.cmd.Process.Signal(s) // Fails only if the process has exited already.
-	_ = p.cmd.Wait()            // A killed process always returns an error.
+	if s == syscall.SIGTERM {
+		stopping := p.cmd.Process
+		defer time.AfterFunc(signalPause, func() {
+			_, _ = stopping.Signal(syscall.SIGHUP), stopping.Signal(s) // They change nothing.
+		}).Stop()
+	}
+	_ = p.cmd.Wait() // A killed process always returns an error.
 }
 
 // signal sends a signal.
@@ -145,7 +156,8 @@
 	unsafe bool      // The request may run at most once.
 	crash  bool      // The prompt has the part that crashes engines.
 	status int       // 0 if there was no complete response.
-	at     time.Time // When the request was sent.
+	at     time.Time // When the request was begun.
+	sent   time.Time // When its last byte was sent.
 	ended  time.Time
 
 	headSeen bool // A response has begun.
@@ -577,7 +589,11 @@
 			body, result.crash = crashBody, true
 		}
 		before := c.newestServed(gate, starts)
-		req, err := http.NewRequest(http.MethodPost, "http://"+c.settings[gate].Listen.String()+path, strings.NewReader(body))
+		var content io.Reader = strings.NewReader(body)
+		if seq%slowEvery == n%slowEvery {
+			content = &slowBody{Reader: content, pause: maxSlowBody / time.Duration(len(body)) * time.Duration(seq%7) / 6}
+		}
+		req, err := http.NewRequest(http.MethodPost, "http://"+c.settings[gate].Listen.String()+path, content)
 		if err != nil {
 			c.t.Error(err)
 			return
@@ -591,14 +607,29 @@
 			req.Header.Set("X-Prompt-Prefix", "aa:500,"+crashPart+":4800,cc:6700")
 		}
 		req.Header.Set("X-Deadline-Remaining-Ms", "5000")
+		if seq%2 == 0 {
+			req.ContentLength = int64(len(body)) // Otherwise a slow body comes in chunks.
+		}
 		c.repeats.send(service)
-		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { result.reused = i.Reused }}))
+		var sent atomic.Pointer[time.Time]
+		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+			GotConn: func(i httptrace.GotConnInfo) { result.reused = i.Reused },
+			WroteRequest: func(i httptrace.WroteRequestInfo) {
+				if now := time.Now(); i.Err == nil {
+					sent.Store(&now)
+				}
+			},
+		}))
 		resp, err := client.Do(req)
 		if err == nil {
 			result.headSeen = true
 			result.status = c.checkResponse(resp, id, path)
 		}
 		result.ended, result.timedOut = time.Now(), os.IsTimeout(err)
+		result.sent = result.ended // If the end came first.
+		if at := sent.Load(); at != nil {
+			result.sent = *at
+		}
 		if strings.HasPrefix(path, "/gen") && c.gates[gate].starts.Load() == starts {
 			c.recordServed(gate, starts, version, before, result.status)
 		}
@@ -608,6 +639,18 @@
 	}
 }
 
+// slowBody is a body of which one byte at a time is sent, each after a pause.
+type slowBody struct {
+	io.Reader
+	pause time.Duration
+}
+
+// Read reads one byte after the pause.
+func (b *slowBody) Read(p []byte) (int, error) {
+	time.Sleep(b.pause)
+	return b.Reader.Read(p[:min(1, len(p))])
+}
+
 // checkResponse checks a response and returns its status, or 0 if it was aborted.
 func (c *soakCluster) checkResponse(resp *http.Response, id, path string) int {
 	defer resp.Body.Close()
--- a/io/gate/soaklost_test.go
+++ b/io/gate/soaklost_test.go
@@ -12,7 +12,7 @@
 const (
 	allowedLost  = 3                      // Requests that calm gates may leave without an answer.
 	overlapTime  = 400 * time.Millisecond // Time for which a run may go on after another one has continued it.
-	lateTerm     = 3 * time.Second        // Time after a SIGTERM up to which requests are sent that may be cut at the end of the grace period.
+	lateTerm     = 3 * time.Second        // Time after a SIGTERM up to which requests are sent, to their last byte, that may be cut at the end of the grace period.
 	graceTime    = 4 * time.Second        // As in newSettings.
 	graceShare   = 5.0 / 6                // Of the grace period, after which requests that still run may be cut.
 	crashNotice  = 100 * time.Millisecond // Time in which TestSoak learns that a replica has crashed.
@@ -78,9 +78,9 @@
 		case term == nil && result.reused && !result.headSeen:
 			lost = append(lost, result.id)
 		case term == nil:
-		case result.at.Sub(term.from) <= lateTerm && float64(result.ended.Sub(term.from)) > graceShare*float64(graceTime):
+		case result.sent.Sub(term.from) <= lateTerm && float64(result.ended.Sub(term.from)) > graceShare*float64(graceTime):
 		default:
-			c.t.Errorf("%s was cut %v after it was sent, %v after the SIGTERM of %s; arrivals %v", result.id, result.ended.Sub(result.at), result.ended.Sub(term.from), gate, at)
+			c.t.Errorf("%s was cut %v after it was sent, %v after the SIGTERM of %s; arrivals %v", result.id, result.ended.Sub(result.sent), result.ended.Sub(term.from), gate, at)
 		}
 	}
 	c.t.Logf("%d requests without an answer from calm gates", len(lost))
