gossip, census: entries that aren't heard count for the slack of retry budgets as long as they may run

Class: a share of a common limit, by a count that errs downwards.

Change: core/census counts the entries of the zone apart from the peers that beats go to. An entry counts two minutes after it was heard, five after the store listed it (the list is read with each renewal of the entry's key), and without a limit while nobody is heard. Of another zone, the most entries that a digest stated in the last two minutes count.

--- a/io/gate/beats.go
+++ b/io/gate/beats.go
@@ -42,8 +42,8 @@
 	for _, key := range b.ChangingRole {
 		changing[key] = true
 	}
+	b.Entries = uint32(g.gossip.ZoneEntries())
 	for _, p := range g.gossip.Peers() {
-		b.Entries++
 		if !p.Alive() {
 			continue
 		}
--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -51,8 +51,8 @@
 		wait, era := entryRenewInterval, g.store.Era()
 		if !lease.IsValid() {
 			lease, err = g.registerAndDiscover(ctx, value)
-		} else {
-			err = g.store.Renew(ctx, lease)
+		} else if err = g.store.Renew(ctx, lease); err == nil {
+			err = g.discover(ctx, true) // Entries that can't be heard count as long as they are listed.
 		}
 		if err != nil {
 			g.log.Warn("registration in store failed", "err", err)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -12,6 +12,7 @@
 
 	"pimentoseam/core/alert"
 	"pimentoseam/core/beat"
+	"pimentoseam/core/census"
 	"pimentoseam/io/proc"
 )
 
@@ -64,9 +65,10 @@
 	conn     atomic.Pointer[net.UDPConn] // Nil until the socket is open.
 	triggers chan struct{}
 
-	mu    sync.Mutex
-	peers map[netip.AddrPort]*Peer // Entries of this zone and entries whose zone isn't known yet.
-	zones map[string]*remoteZone
+	mu     sync.Mutex
+	peers  map[netip.AddrPort]*Peer // Entries of this zone and entries whose zone isn't known yet.
+	zones  map[string]*remoteZone
+	census *census.Census // Of the same entries, also those that are no longer peers.
 }
 
 // Delegate provides the messages to send and handles the received ones.
@@ -104,14 +106,19 @@
 	return &Gossip{
 		listen: listen, name: name, zone: zone, log: log, delegate: delegate, triggers: make(chan struct{}, 1),
 		peers: make(map[netip.AddrPort]*Peer), zones: make(map[string]*remoteZone),
+		census: census.New(),
 	}
 }
 
-// Add adds the gossip address of an entry; zone is empty if it isn't known. The entry's own address is ignored.
+// Add adds the gossip address of an entry that the store lists, or of a seed, whose zone is not known and empty. The entry's own
+// address is ignored.
 func (g *Gossip) Add(addr netip.AddrPort, zone string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.add(addr, zone)
+	if zone == g.zone && addr != g.listen {
+		g.census.Note(addr, census.Listed)
+	}
 }
 
 // add is Add; the lock must be held.
@@ -121,6 +128,7 @@
 	}
 	if zone != "" && zone != g.zone {
 		delete(g.peers, addr)
+		g.census.Remove(addr)
 		g.remoteZone(zone).entries[addr] = true
 		return
 	}
@@ -130,6 +138,7 @@
 		g.peers[addr] = p
 	}
 	p.isListed = p.isListed || zone != ""
+	g.census.Note(addr, census.Address)
 }
 
 // Peers returns the other entries of the zone and the entries whose zone isn't known yet, alive or not.
@@ -162,18 +171,45 @@
 }
 
 // NumEntries returns the number of entries in all zones, including this one and lost ones. A lost entry of this zone
-// counts until peerExpiry. A lost zone counts with its last digest without a limit: a digest is deleted only when
-// another one of the same zone arrives. A zone that was never heard counts with the entries that the store lists.
+// counts for some minutes, and as long as nobody is heard. A lost zone counts with its last digest without a limit: a digest is
+// deleted only when another one of the same zone arrives. A zone that was never heard counts with the entries that the store lists.
 func (g *Gossip) NumEntries() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 1 + len(g.peers)
+	n := g.zoneEntries()
 	for _, z := range g.zones {
 		n += z.numEntries()
 	}
 	return n
 }
 
+// ZoneEntries returns the number of entries in this zone, as NumEntries counts them.
+func (g *Gossip) ZoneEntries() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.zoneEntries()
+}
+
+// zoneEntries is ZoneEntries with the lock held.
+func (g *Gossip) zoneEntries() int {
+	return 1 + g.census.Count(!g.hearsOthers())
+}
+
+// hearsOthers reports whether any other entry is heard; the lock must be held.
+func (g *Gossip) hearsOthers() bool {
+	for _, p := range g.peers {
+		if p.Alive() {
+			return true
+		}
+	}
+	for _, z := range g.zones {
+		if p := z.latestDigest(); p != nil && p.Alive() {
+			return true
+		}
+	}
+	return false
+}
+
 // Reach returns how many entries this one hears, itself included, and how many it knows of. Seeds that were never heard
 // count only for some seconds, since they may be outdated.
 func (g *Gossip) Reach() (heard, known int) {
@@ -410,6 +446,7 @@
 		g.log.Info("peer alive", "peer", from, "name", b.Name, "config", b.ConfigVersion)
 	}
 	p.Beat, p.receivedAt, p.timeout = b, time.Now(), max(livenessTimeout, livenessBeats*g.meanInterval())
+	g.census.Note(from, census.Heard)
 	g.mu.Unlock()
 	g.delegate.HandleBeat(b)
 }
@@ -438,6 +475,7 @@
 		g.log.Info("zone alive", "zone", b.Zone, "name", b.Name, "entries", b.Entries, "config", b.ConfigVersion)
 	}
 	p.Addr, p.Beat, p.receivedAt, p.timeout = b.GossipAddr, b, time.Now(), livenessTimeout
+	z.observeSize(int(b.Entries))
 	for name, old := range z.digests {
 		if time.Since(old.receivedAt) > peerExpiry {
 			delete(z.digests, name)
--- a/io/gossip/peer.go
+++ b/io/gossip/peer.go
@@ -40,6 +40,15 @@
 type remoteZone struct {
 	entries map[netip.AddrPort]bool // The known gossip addresses in the zone.
 	digests map[string]*Peer        // The latest digests by the name of the entry that sent them.
+	size    int                     // The most entries that a digest has stated within peerExpiry.
+	sizedAt time.Time               // When size was last stated.
+}
+
+// observeSize records the number of entries that a digest states. An entry that has just started states too few.
+func (z *remoteZone) observeSize(entries int) {
+	if entries >= z.size || time.Since(z.sizedAt) > peerExpiry {
+		z.size, z.sizedAt = entries, time.Now()
+	}
 }
 
 // latestDigest returns the digest of the zone that was received last, nil if there is none.
@@ -55,8 +64,8 @@
 
 // numEntries returns the number of entries in the zone as far as it is known.
 func (z *remoteZone) numEntries() int {
-	if p := z.latestDigest(); p != nil {
-		return int(p.Beat.Entries)
+	if z.size > 0 {
+		return z.size
 	}
 	return len(z.entries)
 }
