tend, agent: a command with an unknown role is not followed

Cause: it ordered the role; an engine that took it reported a role that can't be read, and without a report nothing is ordered. Class: a value of a stored document that is passed on unread. An agent of the own interface did the same.

--- a/core/member/set.go
+++ b/core/member/set.go
@@ -17,6 +17,11 @@
 	Decode  Role = "decode"  // Generates outputs; can process prompts, at half the speed.
 )
 
+// IsKnown reports whether engines can take the role.
+func (r Role) IsKnown() bool {
+	return r == Prefill || r == Decode
+}
+
 // State is an upstream's readiness for new work.
 type State string
 
--- a/core/roles/planner.go
+++ b/core/roles/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -18,6 +19,11 @@
 
 var allRoles = []Role{Mixed, Prefill, Decode}
 
+// IsKnown reports whether engines can take the role.
+func (r Role) IsKnown() bool {
+	return slices.Contains(allRoles, r)
+}
+
 // Fleet holds the number of engines of one model in each role.
 type Fleet struct {
 	Mixed   int
--- a/io/agent/reconciler.go
+++ b/io/agent/reconciler.go
@@ -8,6 +8,7 @@
 
 	"pimentoseam/core/crash"
 	"pimentoseam/core/plan"
+	"pimentoseam/core/roles"
 	"pimentoseam/io/engine"
 	"pimentoseam/io/proc"
 	"pimentoseam/io/store"
@@ -116,6 +117,10 @@
 	if !ok || (command.Role == state.Role && command.Version == state.Version) {
 		return true
 	}
+	if !roles.Role(command.Role).IsKnown() {
+		r.agent.log.Warn("unknown role not followed", "revision", p.Revision, "epoch", p.Epoch, "lead", p.Leader, "role", command.Role)
+		return true
+	}
 	return r.checkEarlierCommands() && !r.isPausedAfterCrash() && r.apply(ctx, p, command)
 }
 
--- a/io/tend/tend.go
+++ b/io/tend/tend.go
@@ -226,6 +226,11 @@
 
 // update stores the engine's command of a plan unless a newer plan is known; ok is false if the plan has none.
 func (t *Tend) update(c plan.Command, ok bool, revision, epoch int64, leader string) {
+	if ok && !member.Role(c.Role).IsKnown() {
+		// An engine that took it would report a role that can't be read.
+		t.log.Warn("unknown role not followed", "revision", revision, "epoch", epoch, "lead", leader, "role", c.Role, "upstream", c.Upstream)
+		c, ok = plan.Command{}, false
+	}
 	t.mu.Lock()
 	t.lastContact = time.Now()
 	newer := revision > t.revision
--- a/io/tend/tend_test.go
+++ b/io/tend/tend_test.go
@@ -336,6 +336,11 @@
 	}
 	store.Put("plan/lm", planFor(engine, "prefill"))
 	eventually(t, 5*time.Second, "prefill by the plan", func() bool { return engine.Stage() == "prefill" })
+	sendDatagram(t, peer, noticeFor(engine, "both", 1<<39).Encode())
+	time.Sleep(noticeTimeout)
+	if stage := engine.Stage(); stage != "prefill" {
+		t.Errorf("the engine was ordered to be %q", stage)
+	}
 	sendDatagram(t, peer, noticeFor(engine, "decode", 1<<40).Encode())
 	eventually(t, 5*time.Second, "decode by a notice", func() bool { return engine.Stage() == "decode" })
 }
