budget: a table of what it grants by the number of entries

How many of the needed repeats are granted with 3 to 100 entries, in the first window of all processes and later, on a paused clock; with a bound for later windows. Weighed and not taken: an earned part that grows with the entries (docs/design/repeats.md).

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,3 +186,57 @@
 		}
 	}
 }
+
+// TestEntries guards against a budget that refuses repeats, or allows too many, because many entries divide it. It logs the table of
+// docs/design/repeats.md: the share of needed repeats that are granted.
+func TestEntries(t *testing.T) {
+	const (
+		ratio, slack = 0.2, 94.0
+		window       = 10 * time.Second
+		step         = 10 * time.Millisecond
+		windows      = 5
+	)
+	t.Log("entries | failing 0.05: first window, later | failing 0.15: first window, later")
+	for _, entries := range []int{3, 10, 23, 27, 30, 40, 60, 100} {
+		row := fmt.Sprint(entries)
+		for _, failing := range []float64{0.05, 0.15} {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(1, uint64(entries)))
+				var budgets []*budget.Budget
+				for range entries {
+					b := budget.New(ratio, slack, window)
+					b.SetEntries(entries)
+					budgets = append(budgets, b)
+				}
+				var requests, retries []int
+				var needed, granted [windows]float64
+				for i := range windows * int(window/step) {
+					sent, retried := 0, 0
+					for range 4 { // 400 requests a second.
+						b := budgets[random.IntN(entries)]
+						b.RecordRequest()
+						sent++
+						if random.Float64() >= failing {
+							continue
+						}
+						n := i * int(step) / int(window)
+						needed[n]++
+						if b.TakeRetry() != nil {
+							granted[n]++
+							retried++
+						}
+					}
+					requests, retries = append(requests, sent), append(retries, retried)
+					time.Sleep(step)
+				}
+				checkWindows(t, requests, retries, int(window/step), ratio, slack, 0)
+				later := (granted[2] + granted[3] + granted[4]) / (needed[2] + needed[3] + needed[4])
+				row += fmt.Sprintf(" | %.2f, %.2f", granted[0]/needed[0], later)
+				if failing == 0.05 && later < 0.95 {
+					t.Errorf("%d entries grant %.2f of repeats that are a quarter of what the ratio allows, want 0.95", entries, later)
+				}
+			})
+		}
+		t.Log(row)
+	}
+}
