--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -77,10 +77,6 @@
 	if c.LastEventID == "" && (&shed.Request{StatedRemaining: c.Remaining, MaxStated: x.maxStatedRemaining}).IsRetry() {
 		x.priority = max(x.ownPriority, retryPriority)
 	}
-	if !x.mayBegin() {
-		x.refuseStopping()
-		return
-	}
 	if !x.readBody() {
 		return
 	}
--- a/io/gate/stop_test.go
+++ b/io/gate/stop_test.go
@@ -246,3 +246,55 @@
 	}
 	calls.Wait()
 }
+
+// TestPipelinedInGrace guards against a request behind a stream on its connection that is passed on late and cut.
+func TestPipelinedInGrace(t *testing.T) {
+	store := newStore(t)
+	store.Put("op/config", config(1, int(stopTimeLimit.Milliseconds())))
+	app, d := newReplica(t, "i-1", "app", ""), newReplica(t, "d-1", "lm", "decode")
+	app.SetHandler(func(w http.ResponseWriter, req *http.Request) {
+		select {
+		case <-time.After(longWork):
+			app.ServeDefault(w, req)
+		case <-req.Context().Done():
+		}
+	})
+	d.SetStream(5, 500*time.Millisecond, 0)
+	g := startGate(t, store, "", app, d)
+	g.waitReady(t)
+	head := "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Counts: 600,40\r\nX-Prompt-Prefix: aa:500,cc:100\r\nContent-Length: 0\r\n\r\n"
+	conn := g.dial(t, fmt.Sprintf(head, "/model/x", "stream")+fmt.Sprintf(head, "/once/x", "behind"))
+	eventually(t, 2*time.Second, "running", func() bool { return d.Runs("stream") == 1 })
+	g.stop()
+	text, err := readRest(t, conn, stopGrace)
+	if !strings.Contains(text, "id: 5\n") || !strings.Contains(text, "\r\n0\r\n\r\n") {
+		t.Errorf("the stream is incomplete: %q, %v", text, err)
+	}
+	if app.Runs("behind") > 0 || strings.Contains(text, "behind") {
+		t.Errorf("the request behind the stream was passed on: %q", text)
+	}
+}
+
+// TestLateHeadInGrace guards against a request that comes late on a connection that is still open, is passed on and is cut.
+func TestLateHeadInGrace(t *testing.T) {
+	for _, framing := range []string{"length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			c := newStopCluster(t, false, longWork)
+			signal := time.Now()
+			c.gate.stop()
+			time.Sleep(time.Until(signal.Add(stopLate - 200*time.Millisecond)))
+			conn := c.gate.dial(t, "") // The balancer may still open one.
+			begins := signal.Add(lateBodyEnd)
+			time.Sleep(time.Until(begins))
+			_ = slowRequest(conn, "/once/x", "s", framing, time.Now()) // Fails if the connection has been closed.
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil && resp.StatusCode != http.StatusServiceUnavailable || time.Since(begins) > replyTime {
+				t.Errorf("got %v, %v after %v; want 503 or a closed connection at once", resp, err, time.Since(begins))
+			}
+			if c.calls > 0 {
+				t.Errorf("%d calls reached upstreams", c.calls)
+			}
+		})
+	}
+}
