--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -444,6 +444,7 @@
 		e := c.randomEngine(random)
 		defer c.begin(e.ID, false)()
 		e.Restart([]string{"prefill", "decode"}[random.IntN(2)])
+		c.registerAgain(e)
 	case 11:
 		slot := random.IntN(len(c.engines))
 		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond, false)
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -52,9 +52,19 @@
 	}
 	c.engines[slot], c.replicas = e, append(c.replicas, e)
 	c.store.Put("servers/"+e.ID, e.Registration("ready"))
+	e.SetOnStage(func() { c.registerAgain(e) })
 	return e
 }
 
+// registerAgain registers an engine, whose stage may have changed, unless it is down.
+func (c *soakCluster) registerAgain(e *simop.Replica) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.engines, e) {
+		c.store.Put("servers/"+e.ID, e.Registration("ready"))
+	}
+}
+
 // gateOf returns the gate that an attempt id names.
 func (c *soakCluster) gateOf(id string) int {
 	gate, err := strconv.Atoi(id[strings.LastIndex(id, "g")+1:])
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -46,6 +46,7 @@
 	mostConns      int               // The most connections that were open at a time.
 	arrivals       []time.Time       // Times of all calls, including those that were turned away.
 	crash          *Crash            // The requests that crash the replica; nil for none.
+	onStage        func()            // Unless nil, called after each order.
 	onOrder        func()            // Unless nil, called with each order in place of carrying it out; the connection is closed.
 }
 
@@ -411,6 +412,13 @@
 	r.onOrder = f
 }
 
+// SetOnStage sets a function that is called after each order, so that the replica can be registered again as real ones do.
+func (r *Replica) SetOnStage(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onStage = f
+}
+
 func (r *Replica) serveOrder(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
 	onOrder := r.onOrder
@@ -429,17 +437,28 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	r.acceptOrder(w, o.Token, o.Expected, o.Stage)
+}
+
+// acceptOrder takes a stage unless the order is an old one.
+func (r *Replica) acceptOrder(w http.ResponseWriter, token int64, expected *int64, stage string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	onStage := r.onStage
+	defer func() {
+		r.mu.Unlock()
+		if onStage != nil {
+			onStage()
+		}
+	}()
 	switch {
-	case len(r.orderTokens) > 0 && o.Token < r.orderTokens[len(r.orderTokens)-1]:
+	case len(r.orderTokens) > 0 && token < r.orderTokens[len(r.orderTokens)-1]:
 		w.WriteHeader(http.StatusPreconditionFailed)
-	case o.Expected != nil && *o.Expected != r.acceptedOrders:
+	case expected != nil && *expected != r.acceptedOrders:
 		w.WriteHeader(http.StatusConflict)
 	default:
 		r.acceptedOrders++
-		r.orderTokens = append(r.orderTokens, o.Token)
-		r.stage = o.Stage
+		r.orderTokens = append(r.orderTokens, token)
+		r.stage = stage
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
