--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -1,6 +1,7 @@
 package setup_test
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -94,3 +95,23 @@
 		t.Errorf("got %+v and %+v", gate, c)
 	}
 }
+
+// TestEntryAgain guards against settings of an entry that can't be read once they are written again with their defaults.
+func TestEntryAgain(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.json")
+	text := `{"name":"e","zone":"z","listen":"127.0.0.1:1","admin":"127.0.0.1:2","store":"127.0.0.1:3","vms":"127.0.0.1:4","secret":"0123456789abcdef","token":"` + strings.Repeat("0", 64) + `"}`
+	for range 2 {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		e, err := setup.ReadEntry(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := json.Marshal(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = string(data)
+	}
+}
