gate: a failed read of the list of entries doesn't end this entry's lease

The read that follows each renewal shared its error with it, so a store that renewed a lease but failed the read had the entry register anew. Cause: two calls under one error.

--- a/io/gate/peers.go
+++ b/io/gate/peers.go
@@ -52,7 +52,7 @@
 		if !lease.IsValid() {
 			lease, err = g.registerAndDiscover(ctx, value)
 		} else if err = g.store.Renew(ctx, lease); err == nil {
-			err = g.discover(ctx, true) // Entries that can't be heard count as long as they are listed.
+			g.refreshListed(ctx)
 		}
 		if err != nil {
 			g.log.Warn("registration in store failed", "err", err)
@@ -65,6 +65,14 @@
 	}
 }
 
+// refreshListed reads the list of entries again, so that those that can't be heard count as long as they are listed. A failure
+// doesn't concern this entry's lease.
+func (g *Gate) refreshListed(ctx context.Context) {
+	if err := g.discover(ctx, true); err != nil {
+		g.log.Info("entries not read", "err", err)
+	}
+}
+
 // sleepInEra pauses for d or until the store is known to have come back from an older copy, which may lack this entry's
 // key.
 func (g *Gate) sleepInEra(ctx context.Context, d time.Duration, era int64) {
