gate, blame: log lines for each crash, hold and sending of suspect parts

On-call could not tell why a crash was or wasn't evidence against a prompt, nor why a hold ended. New lines: 'crash of parts' for each prompt at a crash, 'prompt parts held' and 'released' with the cause, 'suspect prompt sent'. No decision changes.

--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -121,7 +121,7 @@
 	}
 	for _, e := range list {
 		if 2*e.runs >= most {
-			l.addHold(e.common, time.Now())
+			l.addHold(e.common, time.Now(), Change{Cause: ByCrashes, Crashes: e.runs})
 		}
 	}
 	for _, h := range l.holds {
@@ -136,6 +136,7 @@
 			}
 		}
 		if without.n >= with.n+maxFreeCrashes {
+			l.noteEnd(h, ByOthers)
 			h.lift()
 		}
 	}
@@ -158,8 +159,8 @@
 }
 
 // addHold holds a set of parts unless it, or a part of it, is held already or was lately. A set of fewer parts replaces one of
-// more, whose traffic and trials remain known.
-func (l *Ledger) addHold(parts []Part, began time.Time) bool {
+// more, whose traffic and trials remain known. why tells the cause and the crashes for the log.
+func (l *Ledger) addHold(parts []Part, began time.Time, why Change) bool {
 	if len(parts) == 0 || len(parts) > maxBlockParts || time.Since(began) >= holdTTL || l.isAnswered(parts, began) {
 		return false
 	}
@@ -178,14 +179,20 @@
 		if !isSubset(parts, h.parts) {
 			return false
 		}
+		l.noteEnd(h, ByNarrower)
 		added.began, added.before, added.sent = h.began, h.before, h.sent
 		added.trials, added.last, added.lifted = h.trials, h.last, h.lifted
 		return true
 	})
 	if len(l.holds) >= maxHolds {
+		l.noteEnd(l.holds[0], ByRoom)
 		l.holds = l.holds[1:]
 	}
 	l.holds = append(l.holds, added)
+	if added.isInForce() {
+		why.Parts, why.IsHeld, why.Trials = added.parts, true, added.trials
+		l.note(why)
+	}
 	return true
 }
 
@@ -341,17 +348,33 @@
 
 // expireHolds drops holds and trials that no longer count, and holds whose parts were answered.
 func (l *Ledger) expireHolds() {
+	l.dropAnsweredHolds()
 	l.holds = slices.DeleteFunc(l.holds, func(h *hold) bool {
-		return time.Since(h.began) >= holdTTL || (!h.lifted.IsZero() && time.Since(h.lifted) >= liftedTTL) || l.isAnswered(h.parts, h.began)
+		return time.Since(h.began) >= holdTTL || (!h.lifted.IsZero() && time.Since(h.lifted) >= liftedTTL)
 	})
 	maps.DeleteFunc(l.trials, func(_ uint64, t *trial) bool { return time.Since(t.at) >= trialTTL })
 }
 
+// dropAnsweredHolds ends the holds whose parts have been answered since.
+func (l *Ledger) dropAnsweredHolds() {
+	l.holds = slices.DeleteFunc(l.holds, func(h *hold) bool {
+		if !l.isAnswered(h.parts, h.began) {
+			return false
+		}
+		l.noteEnd(h, ByAnswer)
+		return true
+	})
+}
+
 // decide blocks what the evidence suffices for, holds what is suspect, and returns the new blocks.
 func (l *Ledger) decide() []Block {
 	l.decided = time.Now()
 	s := l.scene()
 	list := l.judge(s)
+	l.suspected = make(map[Part]int)
+	for _, e := range list {
+		l.suspected[e.part] = e.runs
+	}
 	var added []Block
 	for _, e := range list {
 		if l.isConvicted(e, s) && l.addBlock(e.common, time.Now()) {
@@ -359,7 +382,11 @@
 		}
 	}
 	l.holds = slices.DeleteFunc(l.holds, func(h *hold) bool {
-		return slices.ContainsFunc(l.blocks, func(b *block) bool { return isSubset(b.parts, h.parts) })
+		if !slices.ContainsFunc(l.blocks, func(b *block) bool { return isSubset(b.parts, h.parts) }) {
+			return false
+		}
+		l.noteEnd(h, ByBlock)
+		return true
 	})
 	l.holdSuspects(list, s)
 	return added
--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -55,17 +55,19 @@
 
 // Ledger holds the evidence against parts of prompts and the blocks that follow from it. It is safe for concurrent use.
 type Ledger struct {
-	mu      sync.Mutex
-	crashes map[leave.Run]*crash
-	answers *answerLog
-	blocks  []*block // The oldest first.
-	entries int
-	traffic traffic
-	sent    map[Part]int // Requests with each suspect part that this entry has sent since it became suspect.
-	turn    int          // Rises with each report.
-	holds   []*hold      // The oldest first.
-	trials  map[uint64]*trial
-	decided time.Time // When the evidence was judged last.
+	mu        sync.Mutex
+	crashes   map[leave.Run]*crash
+	answers   *answerLog
+	blocks    []*block // The oldest first.
+	entries   int
+	traffic   traffic
+	sent      map[Part]int // Requests with each suspect part that this entry has sent since it became suspect.
+	turn      int          // Rises with each report.
+	holds     []*hold      // The oldest first.
+	trials    map[uint64]*trial
+	decided   time.Time    // When the evidence was judged last.
+	changes   []Change     // Not taken yet, the oldest first.
+	suspected map[Part]int // Crashes since their last answers of the parts that were at minSuspected or more, as judged last.
 }
 
 // traffic counts what this entry has sent to engines and got from them.
@@ -187,7 +189,7 @@
 		}
 	}
 	for _, h := range r.Holds {
-		if l.addHold(h.Parts, timeOf(h.Age)) {
+		if l.addHold(h.Parts, timeOf(h.Age), Change{Cause: ByPeer}) {
 			changed = true
 		}
 	}
@@ -286,7 +288,7 @@
 // dropAnswered lifts the blocks whose parts have been answered since: the requests were at engines already.
 func (l *Ledger) dropAnswered() {
 	l.blocks = slices.DeleteFunc(l.blocks, func(b *block) bool { return l.isAnswered(b.parts, b.at) })
-	l.holds = slices.DeleteFunc(l.holds, func(h *hold) bool { return l.isAnswered(h.parts, h.began) })
+	l.dropAnsweredHolds()
 }
 
 // expire drops crashes and blocks that no longer count.
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -40,6 +40,10 @@
 	tried   *digest.Sum   // The digest that a trial is of; nil for other requests.
 	prompt  blame.Suspect // Without parts if it isn't suspect as a prompt.
 	isTrial bool          // It was sent to find out whether its parts crash engines.
+	id      string        // Of the call, for the log.
+	names   string        // Of the prompt's shared parts, for the log.
+	events  int           // That the upstream had sent.
+	age     time.Duration // Since the first of them.
 }
 
 // breakage is the connections that one run of an upstream closed in the middle of requests.
@@ -112,8 +116,11 @@
 	if u.isLeaving() {
 		return
 	}
-	s := suspect{route: x.route.Name, digests: x.identity(), isTrial: x.isPartTrial}
+	s := suspect{route: x.route.Name, digests: x.identity(), isTrial: x.isPartTrial, id: x.call.ID, names: x.call.PartNames(), events: events}
 	x.hasFailed = true
+	if !x.firstEvent.IsZero() {
+		s.age = time.Since(x.firstEvent)
+	}
 	if x.trial != nil {
 		s.tried = &x.trial.of
 	}
@@ -184,6 +191,7 @@
 	} else {
 		prompts = append(prompts, b.abandoned...)
 	}
+	g.logEvidence(b, isExplained)
 	hold := g.crashes.Crashed(runOf(b.run), beat.Key(b.run.Service), requests, tried)
 	suspects, held := g.crashes.Known()
 	g.log.Warn("upstream crashed", "upstream", b.run.ID, "service", b.run.Service, "requests", len(b.suspects), "trial", tried != nil, "route", route, "at", digestNames(b.suspects), "suspects", suspects, "held", held, "age", time.Since(b.at))
@@ -196,6 +204,7 @@
 		g.blame.SetEntries(g.gossip.NumEntries())
 		blocks = g.blame.Crashed(runOf(b.run), b.at, prompts)
 		g.logBlocks(blocks, "itself")
+		g.logChanges()
 	}
 	g.gossip.Trigger()
 	if hold == nil && len(blocks) == 0 && !isExplained {
@@ -252,6 +261,25 @@
 	return strings.Join(names, ",")
 }
 
+// logEvidence logs for each prompt that broke off in a crash whether that is evidence against its parts.
+func (g *Gate) logEvidence(b *breakage, isExplained bool) {
+	for _, s := range b.suspects[:min(len(b.suspects), maxLoggedSuspects)] {
+		if s.names == "" {
+			continue
+		}
+		counts, why := true, "not answered"
+		switch {
+		case s.isTrial:
+			why = "trial of parts"
+		case isExplained:
+			counts, why = false, "a request was tried there"
+		case len(s.prompt.Parts) == 0:
+			counts, why = false, "long since its first event"
+		}
+		g.log.Info("crash of parts", "id", s.id, "upstream", b.run.ID, "parts", s.names, "begun", s.prompt.Begun, "events", s.events, "since", s.age, "counts", counts, "why", why)
+	}
+}
+
 // logHolds logs requests that are held from now on.
 func (g *Gate) logHolds(holds []crash.Hold, source string) {
 	for _, h := range holds {
@@ -280,6 +308,17 @@
 	}
 }
 
+// logChanges logs parts of prompts that are held from now on or no longer.
+func (g *Gate) logChanges() {
+	for _, c := range g.blame.TakeChanges() {
+		message := "prompt parts released"
+		if c.IsHeld {
+			message = "prompt parts held"
+		}
+		g.log.Info(message, "parts", c.Parts, "cause", c.Cause, "crashes", c.Crashes, "trials", c.Trials)
+	}
+}
+
 // mergeBlame adds what another entry knows about crashes, and passes on what is new.
 func (g *Gate) mergeBlame(a *alert.Alert) {
 	if a.Blame.IsEmpty() {
@@ -288,6 +327,7 @@
 	g.blame.SetEntries(g.gossip.NumEntries())
 	added, changed := g.blame.Merge(a.Blame)
 	g.logBlocks(added, a.Name)
+	g.logChanges()
 	if changed {
 		g.gossip.Trigger()
 	}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -361,6 +361,9 @@
 		return nil, notRun
 	}
 	x.sentAt, x.firstEvent = time.Now(), time.Time{}
+	if crashes := x.gate.blame.Suspected(x.parts); crashes > 0 {
+		x.gate.log.Info("suspect prompt sent", "id", x.call.ID, "upstream", info.ID, "parts", x.call.PartNames(), "crashes", crashes, "trial", x.isPartTrial, "prefill", dispatch.PrefillOnly)
+	}
 	if !dispatch.PrefillOnly {
 		x.gate.blame.Sent(x.parts)
 	}
--- a/io/gate/reply.go
+++ b/io/gate/reply.go
@@ -94,6 +94,7 @@
 func (g gossipSource) alert() *alert.Alert {
 	settings := g.settings()
 	g.logBlocks(g.blame.Review(), "itself")
+	g.logChanges()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	paces, prompts, streams := g.alertPaces, g.alertPrompts, g.alertStreams
