--- a/core/blame/convict.go
+++ b/core/blame/convict.go
@@ -7,7 +7,7 @@
 )
 
 // minSuspected is the number of crashes since its last answer from which on a part is judged.
-const minSuspected = min(minBegun, minOther, minHold)
+const minSuspected = min(minBegun, minOther, minHold, minHoldBegun)
 
 // moments counts crashes that lie minSpacing apart.
 type moments struct {
@@ -24,15 +24,19 @@
 
 // evidence is what speaks against one part: the crashes since its last answer at which it was suspect.
 type evidence struct {
-	part   Part
-	spots  []spot  // Where it was at these crashes, if that counts.
-	first  *crash  // The first of these crashes.
-	runs   int     // Number of these crashes.
-	begun  moments // Those with a request that was begun.
-	any    moments // All of them.
-	held   *hold   // The hold of the part; nil for none.
-	inHold moments // Those of the crashes that the hold has not prevented.
-	common []Part  // The parts that came with it each time.
+	part      Part
+	spots     []spot  // Where it was at these crashes, if that counts.
+	first     *crash  // The first of these crashes.
+	runs      int     // Number of these crashes.
+	begun     moments // Those with a request that was begun.
+	soon      moments // Those with a request that had no event yet or its first one lately.
+	any       moments // All of them.
+	begunRuns int     // Number of crashes with a request that was begun.
+	requests  int     // Number of requests with the part at these crashes.
+	isLate    bool    // Some of these requests had their first event long before.
+	held      *hold   // The hold of the part; nil for none.
+	inHold    moments // Those of the crashes that the hold has not prevented.
+	common    []Part  // The parts that came with it each time.
 }
 
 // judge returns what speaks against each part that was at minSuspected or more crashes. Of parts against which the same speaks it
@@ -57,12 +61,15 @@
 func (l *Ledger) against(p Part, s *scene) *evidence {
 	answered, wasAnswered := l.answers.last(p)
 	e := &evidence{part: p, held: l.holdOf(p)}
-	last := -1
+	last, lastBegun := -1, -1
+	own := make(map[Part]bool)
 	for _, at := range s.spots[p] {
 		c := s.crashes[at.crash]
 		if !c.at.After(answered) || at.suspect >= l.numSuspects(s, at.crash, p) {
 			continue
 		}
+		suspect := c.suspects[at.suspect]
+		own[suspect.Parts[len(suspect.Parts)-1]] = true
 		if e.first == nil {
 			e.first = c
 		}
@@ -75,10 +82,20 @@
 				e.inHold.add(c.at)
 			}
 		}
-		if c.suspects[at.suspect].Begun {
+		switch {
+		case suspect.isLate():
+			e.isLate = true
+			continue
+		case suspect.Begun:
 			e.begun.add(c.at)
+			if at.crash != lastBegun {
+				lastBegun = at.crash
+				e.begunRuns++
+			}
 		}
+		e.soon.add(c.at)
 	}
+	e.requests = len(own)
 	if e.first == nil {
 		return e
 	}
@@ -102,9 +119,11 @@
 }
 
 // numSuspects returns how many suspects of a crash it may be due to as far as a part is concerned, from the first one on: none if
-// another block explains it, and only those that were begun if one of them has a part that was not answered before.
+// another block explains it or, if the part was answered before, a hold of parts that weren't, only those that were begun if one of them has a part that was not answered before, and no late ones if
+// another one shares such a part with others.
 func (l *Ledger) numSuspects(s *scene, crash int, p Part) int {
-	if s.isExplained(crash, p) {
+	_, wasAnswered := l.answers.last(p)
+	if s.isExplained(crash, p) || (wasAnswered && s.isDueToHeld(crash, p)) {
 		return 0
 	}
 	c := s.crashes[crash]
@@ -112,9 +131,24 @@
 	if slices.ContainsFunc(begun, func(s Suspect) bool { return l.hasUnanswered(s.Parts) }) {
 		return len(begun)
 	}
+	soon := c.suspects[:c.numSoon()]
+	if slices.ContainsFunc(soon, func(s Suspect) bool { return l.hasUnanswered(s.shared()) }) {
+		return len(soon)
+	}
 	return len(c.suspects)
 }
 
+// numSoon returns the number of requests that had no event or their first one lately, which come before the late ones.
+func (c *crash) numSoon() int {
+	n := 0
+	for _, s := range c.suspects {
+		if !s.isLate() {
+			n++
+		}
+	}
+	return n
+}
+
 // numBegun returns the number of requests that were begun, which come first.
 func (c *crash) numBegun() int {
 	n := 0
@@ -140,10 +174,13 @@
 	if _, ok := l.answers.last(e.part); ok {
 		factor = answeredFactor
 	}
-	if e.begun.n >= factor*minBegun && l.chance(e, s, true, 0) <= maxChance {
+	if e.begun.n >= factor*minBegun && l.chance(e, s, onlyBegun, 0) <= maxChance {
+		return true
+	}
+	if (e.soon.n >= factor*minOther || e.hasTrials(0)) && l.chance(e, s, onlySoon, 0) <= maxChance {
 		return true
 	}
-	return (e.any.n >= factor*minOther || e.hasTrials(0)) && l.chance(e, s, false, 0) <= maxChance
+	return e.isLate && (e.any.n >= factor*minOther || e.hasTrials(0)) && l.chance(e, s, withLate, 0) <= maxChance
 }
 
 // hasTrials reports whether enough trials of a held part have crashed engines, after more of them. They can't be due to what
@@ -152,6 +189,27 @@
 	return e.held != nil && e.runs+more >= minOther && min(e.inHold.n, e.held.trials)+more >= minInHold
 }
 
+// states are the states of requests at a crash that count.
+type states string
+
+// The states that count. In fewer of them there are fewer requests at any moment, so that it says more to be in one each time.
+const (
+	onlyBegun states = "begun"
+	onlySoon  states = "soon" // Without an event, or with the first one lately.
+	withLate  states = "all"
+)
+
+// has reports whether a suspect's state counts.
+func (s states) has(suspect Suspect) bool {
+	switch s {
+	case onlyBegun:
+		return suspect.Begun
+	case onlySoon:
+		return !suspect.isLate()
+	}
+	return true
+}
+
 // period is what happened in a time in which a part was sent freely, or was held.
 type period struct {
 	all, with     moments // Crashes, and those at which the part was suspect.
@@ -164,9 +222,9 @@
 
 // chance returns the probability with which a sound part would have been at as many of the crashes since the first one, and in
 // none of the answers. It would have its share of the requests that were sent also among the suspects and the answers. While a
-// part is held, the share is another one. With onlyBegun, only suspects that were begun count; more crashes under the part while
-// it is held can be assumed.
-func (l *Ledger) chance(e *evidence, s *scene, onlyBegun bool, more int) float64 {
+// part is held, the share is another one. Only suspects in the given states count; more crashes under the part while it is held can
+// be assumed.
+func (l *Ledger) chance(e *evidence, s *scene, counted states, more int) float64 {
 	free := &period{sent: l.traffic.sent - e.first.before.sent, sentWith: l.sent[e.part], answered: l.traffic.answered - e.first.before.answered}
 	held := &period{}
 	if e.held != nil {
@@ -183,12 +241,13 @@
 			during = held
 		}
 		during.all.add(c.at)
-		during.suspected += len(c.suspects)
-		if onlyBegun {
-			during.suspected += c.numBegun() - len(c.suspects)
+		for _, suspect := range c.suspects {
+			if counted.has(suspect) {
+				during.suspected++
+			}
 		}
 		for ; len(spots) > 0 && spots[0].crash == i; spots = spots[1:] {
-			if !onlyBegun || c.suspects[spots[0].suspect].Begun {
+			if counted.has(c.suspects[spots[0].suspect]) {
 				during.with.add(c.at)
 				during.suspectedWith++
 			}
--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -11,6 +11,9 @@
 	// minHold is the number of crashes, of any causes, after which a part that was at all of them and in no answer is held: of
 	// the prompts with it, one at a time goes to an engine until it is known whether they crash engines.
 	minHold = 3
+	// minHoldBegun replaces minHold for a part that was never answered, while others were, if requests with it had been begun and had
+	// no event each time. Few requests are in that state at any moment, and few of them have such a part.
+	minHoldBegun = 2
 	// minInHold is the number of trials of a held part that must have crashed engines to make up for crashes at one moment, which
 	// count once, and for an answer before them.
 	minInHold = 2
@@ -40,8 +43,9 @@
 	laterPause = 20 * time.Second
 	maxPause   = 2 * time.Minute
 	// trialTTL is how long a trial is known and reported.
-	trialTTL  = 10 * time.Second
-	maxTrials = 8
+	trialTTL = 10 * time.Second
+	// maxTrials limits the trials that are known. While no engine is up, many of them begin and don't run; those give way first.
+	maxTrials = 32
 	// reviewPause is the minimum time between two looks at the evidence without a new crash.
 	reviewPause = 250 * time.Millisecond
 )
@@ -120,15 +124,15 @@
 		most = max(most, e.runs)
 	}
 	for _, e := range list {
-		if 2*e.runs >= most {
-			l.addHold(e.common, time.Now(), Change{Cause: ByCrashes, Crashes: e.runs})
+		if 2*e.runs >= most || l.isNewBegun(e) {
+			l.addHold(s.heldParts(e), time.Now(), Change{Cause: ByCrashes, Crashes: e.runs})
 		}
 	}
 	for _, h := range l.holds {
 		var with, without moments
 		for i, c := range s.crashes {
 			switch {
-			case !h.covers(c.at) || len(s.explained[i]) > 0:
+			case !h.covers(c.at) || len(s.explained[i]) > 0 || l.isDueToOthers(c, h):
 			case slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(h.parts, s.Parts) }):
 				with.add(c.at)
 			default:
@@ -142,9 +146,41 @@
 	}
 }
 
+// isDueToOthers reports whether a crash may be due to other parts than those of a hold, so that it says nothing of these: another
+// hold in force has the parts of a suspect, or a suspect that was begun has a part that was never answered.
+func (l *Ledger) isDueToOthers(c *crash, h *hold) bool {
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool {
+		if s.Begun && l.hasUnanswered(s.shared()) {
+			return true
+		}
+		return slices.ContainsFunc(l.holds, func(other *hold) bool { return other != h && other.isInForce() && isSubset(other.parts, s.Parts) })
+	})
+}
+
+// heldParts returns the parts to hold for the evidence against one of them: those that came with it each time, without the own
+// part of a request that came again if there are others.
+func (s *scene) heldParts(e *evidence) []Part {
+	if len(e.common) < 2 {
+		return e.common
+	}
+	first := s.crashes[e.spots[0].crash].suspects[e.spots[0].suspect]
+	own := first.Parts[len(first.Parts)-1]
+	return slices.DeleteFunc(slices.Clone(e.common), func(p Part) bool { return p == own })
+}
+
+// isNewBegun reports whether a part was never answered, though others were, and was at enough crashes under requests that were
+// begun to be held for that.
+func (l *Ledger) isNewBegun(e *evidence) bool {
+	_, wasAnswered := l.answers.last(e.part)
+	return !wasAnswered && e.begunRuns >= minHoldBegun && l.traffic.answered >= minOtherAnswers
+}
+
 // mayHold reports whether the evidence suffices to hold a part.
 func (l *Ledger) mayHold(e *evidence) bool {
-	if e.runs < minHold {
+	if l.isNewBegun(e) {
+		return true
+	}
+	if e.runs < minHold || (e.isLate && e.requests < minHold) {
 		return false
 	}
 	_, wasAnswered := l.answers.last(e.part)
@@ -216,18 +252,28 @@
 	return n
 }
 
-// holdOn returns the hold in force on a prompt, nil for none.
+// holdOn returns the hold in force on a prompt, nil for none. One of parts that were never answered comes first: a crash would be due
+// to these.
 func (l *Ledger) holdOn(parts []Part) *hold {
 	if len(l.holds) == 0 {
 		return nil
 	}
 	parts = l.contained(parts)
+	var first *hold
 	for _, h := range l.holds {
-		if h.isInForce() && isSubset(h.parts, parts) {
-			return h
+		if h.isInForce() && isSubset(h.parts, parts) && (first == nil || (l.isNew(h.parts) && !l.isNew(first.parts))) {
+			first = h
 		}
 	}
-	return nil
+	return first
+}
+
+// isNew reports whether no engine is known to have answered any of the parts.
+func (l *Ledger) isNew(parts []Part) bool {
+	return !slices.ContainsFunc(parts, func(p Part) bool {
+		_, ok := l.answers.last(p)
+		return ok
+	})
 }
 
 // Begin begins a trial of a prompt with held parts and returns its id, or false if none may be made now. Other entries must be told
@@ -246,8 +292,7 @@
 		return 0, false
 	}
 	id := rand.Uint64()
-	l.addTrial(id, h.parts, time.Now())
-	return id, true
+	return id, l.addTrial(id, h.parts, time.Now())
 }
 
 // hasCrashed reports whether an engine has crashed under the held parts since the last trial.
@@ -312,7 +357,7 @@
 	h.judged, h.decisive = time.Now(), false
 	s := l.scene()
 	for _, e := range l.judge(s) {
-		if e.held == h && e.hasTrials(1) && l.chance(e, s, false, 1) <= maxChance {
+		if e.held == h && e.hasTrials(1) && (l.chance(e, s, onlySoon, 1) <= maxChance || (e.isLate && l.chance(e, s, withLate, 1) <= maxChance)) {
 			h.decisive = true
 		}
 	}
@@ -330,7 +375,10 @@
 
 // addTrial records a trial of this or another entry and reports whether it is new.
 func (l *Ledger) addTrial(id uint64, parts []Part, at time.Time) bool {
-	if l.trials[id] != nil || len(l.trials) >= maxTrials || len(parts) == 0 || len(parts) > maxBlockParts || time.Since(at) >= trialTTL {
+	if l.trials[id] != nil || len(parts) == 0 || len(parts) > maxBlockParts || time.Since(at) >= trialTTL {
+		return false
+	}
+	if len(l.trials) >= maxTrials && !l.dropVoidTrial() {
 		return false
 	}
 	t := &trial{parts: parts, at: at}
@@ -346,6 +394,19 @@
 	return true
 }
 
+// dropVoidTrial drops the oldest trial that did not run and reports whether there was one.
+func (l *Ledger) dropVoidTrial() bool {
+	var oldest *trial
+	var id uint64
+	for other, t := range l.trials {
+		if t.isVoid && (oldest == nil || t.at.Before(oldest.at)) {
+			id, oldest = other, t
+		}
+	}
+	delete(l.trials, id)
+	return oldest != nil
+}
+
 // expireHolds drops holds and trials that no longer count, and holds whose parts were answered.
 func (l *Ledger) expireHolds() {
 	l.dropAnsweredHolds()
--- a/core/blame/hold_test.go
+++ b/core/blame/hold_test.go
@@ -314,7 +314,7 @@
 		if _, ok := peer.Begin(sound); !ok {
 			t.Error("no trial at another entry after trials that did not run")
 		}
-		peer.Outlived(sound)
+		peer.Outlived(sound, blame.Onset+time.Millisecond)
 		l.Merge(peer.Report())
 		if peer.Held(sound) || l.Held(sound) {
 			t.Error("held although an engine has not crashed")
--- a/core/blame/keep.go
+++ b/core/blame/keep.go
@@ -80,7 +80,9 @@
 		return false
 	}
 	own := s.Parts[len(s.Parts)-1]
-	i := slices.IndexFunc(c.suspects, func(o Suspect) bool { return o.Begun == s.Begun && o.Parts[len(o.Parts)-1] == own })
+	i := slices.IndexFunc(c.suspects, func(o Suspect) bool {
+		return o.Begun == s.Begun && o.isLate() == s.isLate() && o.Parts[len(o.Parts)-1] == own
+	})
 	known := make(map[Part]bool)
 	if i >= 0 {
 		for _, p := range c.suspects[i].Parts {
@@ -105,7 +107,7 @@
 		c.suspects[i].Parts = slices.Concat(list[:len(list)-1], added, []Part{own})
 	} else {
 		added = l.trim(added, max(minTrimmed, room))
-		c.suspects = append(c.suspects, Suspect{Begun: s.Begun, Parts: added})
+		c.suspects = append(c.suspects, Suspect{Begun: s.Begun, Parts: added, After: s.After})
 	}
 	for _, p := range added {
 		l.sent[p] += 0 // Counts from now on.
@@ -145,10 +147,10 @@
 	return append(list, parts[len(parts)-1])
 }
 
-// compareSuspects orders suspects that were begun before others, and among each those first that have a part besides their own
+// compareSuspects orders suspects that were begun before others and late ones last, and among each those first that have a part besides their own
 // that no engine is known to have answered.
 func (l *Ledger) compareSuspects(a, b Suspect) int {
-	if c := compareFirst(a.Begun, b.Begun); c != 0 {
+	if c := cmp.Or(compareFirst(a.Begun, b.Begun), compareFirst(!a.isLate(), !b.isLate())); c != 0 {
 		return c
 	}
 	return compareFirst(l.hasUnanswered(a.shared()), l.hasUnanswered(b.shared()))
--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -47,8 +47,9 @@
 	// minTrimmed is the number of parts that a suspect keeps at least.
 	minTrimmed = 16
 	// The limits of a report, which then has less than 32 kB and fits into a datagram.
-	maxReported       = 16   // Crashes.
-	maxReportSuspects = 4    // Of a crash.
+	maxReported       = 16 // Crashes.
+	maxReportSuspects = 4  // Of a crash, and as many late ones.
+	maxReportStates   = 2
 	maxReportParts    = 1024 // Of all suspects. The parts beyond it are in the next reports.
 	maxReportAnswers  = 200
 )
@@ -131,21 +132,60 @@
 	l.dropAnswered()
 }
 
-// Outlived records that an engine has not crashed under a prompt with the given parts in the time in which held parts would have
-// shown that they crash engines, so that they needn't be held until its answer is complete.
-func (l *Ledger) Outlived(parts []Part) {
+// Onset is the time since its first event up to which a request is among those that a crash is most likely due to. Most prompts that
+// crash engines do so soon after their answer begins, which can be long after they were sent.
+const Onset = time.Second
+
+// outlivedFactor is how many times as long as the latest crash under held parts took after the first event an answer must go on to
+// show that they are sound. Engines are slower in one run than in another.
+const outlivedFactor = 2
+
+// Outlived tells that an engine has answered a prompt with the given parts for some time since the first event and has not crashed.
+// If held parts would have shown by then that they crash engines, they needn't be held until the answer is complete. It returns
+// false if they may still do so.
+func (l *Ledger) Outlived(parts []Part, since time.Duration) bool {
+	if since <= Onset {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.holds) == 0 {
-		return
+		return true
+	}
+	contained := l.contained(parts)
+	isHeld := false
+	for _, h := range l.holds {
+		if !isSubset(h.parts, contained) {
+			continue
+		}
+		if since <= outlivedFactor*l.latest(h) {
+			return false
+		}
+		isHeld = true
+	}
+	if !isHeld {
+		return true
 	}
-	held := l.limited()
 	for _, p := range parts {
-		if held[p] {
+		if _, isSuspect := l.sent[p]; isSuspect {
 			l.answers.add(p, time.Now())
 		}
 	}
 	l.dropAnswered()
+	return true
+}
+
+// latest returns the longest time from the first event of a request with the held parts to a crash that it was at.
+func (l *Ledger) latest(h *hold) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range l.crashes {
+		for _, s := range c.suspects {
+			if s.After > longest && isSubset(h.parts, s.Parts) {
+				longest = s.After
+			}
+		}
+	}
+	return longest
 }
 
 // Crashed records that a run of an engine has crashed at a time, and the requests of this entry that may have caused it. It returns
@@ -156,7 +196,9 @@
 		run.Started = at.UnixMilli() // It has started again since, which this entry hasn't heard of.
 	}
 	l.mu.Unlock()
-	added, _ := l.Merge(&Report{Crashes: []Crash{{Run: run, Age: ageOf(at), Suspects: suspects}}})
+	r := &Report{}
+	r.add(Crash{Run: run, Age: ageOf(at), Suspects: suspects})
+	added, _ := l.Merge(r)
 	return added
 }
 
@@ -183,6 +225,11 @@
 			changed = true
 		}
 	}
+	for _, c := range r.Late {
+		if l.addCrash(c.crash()) {
+			changed = true
+		}
+	}
 	for _, t := range r.Trials {
 		if l.mergeTrial(t) {
 			changed = true
--- a/core/blame/report.go
+++ b/core/blame/report.go
@@ -35,6 +35,28 @@
 	_     struct{} `cbor:",toarray"`
 	Begun bool     // The engine had begun to respond and sent no event yet.
 	Parts []Part   // The parts of its prompt.
+	// After is the time since its first event, if that had come longer than Onset before the crash; otherwise 0.
+	After time.Duration `cbor:"-"`
+}
+
+// isLate reports whether the first event had come long before the crash.
+func (s Suspect) isLate() bool {
+	return s.After > 0
+}
+
+// LateSuspect is a Suspect whose first event had come longer than Onset before the crash.
+type LateSuspect struct {
+	_     struct{} `cbor:",toarray"`
+	After uint32   // Milliseconds from the first event to the crash.
+	Parts []Part
+}
+
+// LateCrash has the late suspects of a crash, which older processes don't know.
+type LateCrash struct {
+	_        struct{}  `cbor:",toarray"`
+	Run      leave.Run // The run that ended.
+	Age      uint32    // Milliseconds since the crash.
+	Suspects []LateSuspect
 }
 
 // Crash is the unplanned end of one run of an engine.
@@ -70,16 +92,42 @@
 
 // Report is what an entry tells the others.
 type Report struct {
-	Crashes []Crash  `cbor:"1,keyasint,omitempty"` // Recent crashes, the newest first.
-	Answers []Answer `cbor:"2,keyasint,omitempty"` // Answers to prompts with parts that are suspect or blocked.
-	Blocks  []Block  `cbor:"3,keyasint,omitempty"` // All blocks in force.
-	Holds   []Block  `cbor:"4,keyasint,omitempty"` // Sets of parts of which one prompt at a time may go to an engine.
-	Trials  []Trial  `cbor:"5,keyasint,omitempty"` // Recent runs of such prompts.
+	Crashes []Crash     `cbor:"1,keyasint,omitempty"` // Recent crashes, the newest first.
+	Answers []Answer    `cbor:"2,keyasint,omitempty"` // Answers to prompts with parts that are suspect or blocked.
+	Blocks  []Block     `cbor:"3,keyasint,omitempty"` // All blocks in force.
+	Holds   []Block     `cbor:"4,keyasint,omitempty"` // Sets of parts of which one prompt at a time may go to an engine.
+	Trials  []Trial     `cbor:"5,keyasint,omitempty"` // Recent runs of such prompts.
+	Late    []LateCrash `cbor:"6,keyasint,omitempty"` // Crashes with late suspects.
 }
 
 // IsEmpty reports whether r states nothing.
 func (r *Report) IsEmpty() bool {
-	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Blocks)+len(r.Holds)+len(r.Trials) == 0
+	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Blocks)+len(r.Holds)+len(r.Trials)+len(r.Late) == 0
+}
+
+// add adds a crash, with its late suspects apart.
+func (r *Report) add(c Crash) {
+	known, late := Crash{Run: c.Run, Age: c.Age}, LateCrash{Run: c.Run, Age: c.Age}
+	for _, s := range c.Suspects {
+		if s.isLate() {
+			late.Suspects = append(late.Suspects, LateSuspect{After: uint32(s.After.Milliseconds()), Parts: s.Parts})
+		} else {
+			known.Suspects = append(known.Suspects, s)
+		}
+	}
+	r.Crashes = append(r.Crashes, known)
+	if len(late.Suspects) > 0 {
+		r.Late = append(r.Late, late)
+	}
+}
+
+// crash returns the crash with its late suspects.
+func (c LateCrash) crash() Crash {
+	known := Crash{Run: c.Run, Age: c.Age}
+	for _, s := range c.Suspects {
+		known.Suspects = append(known.Suspects, Suspect{Parts: s.Parts, After: max(1, time.Duration(s.After)*time.Millisecond)})
+	}
+	return known
 }
 
 // ageOf returns the milliseconds since a time.
--- a/core/blame/scene.go
+++ b/core/blame/scene.go
@@ -18,6 +18,7 @@
 type scene struct {
 	crashes   []*crash // In ascending order of time.
 	explained [][]*block
+	held      [][]*hold       // Of parts that were never answered and which a suspect of each crash has.
 	spots     map[Part][]spot // Where each part with enough crashes since its last answer was, in ascending order.
 	order     []Part          // These parts, the last ones of the latest prompts first, so that all entries judge them in the same order.
 }
@@ -30,6 +31,7 @@
 	counts := make(map[Part]count)
 	for i, c := range s.crashes {
 		s.explained = append(s.explained, l.explaining(c))
+		s.held = append(s.held, l.holdsAt(c))
 		for _, suspect := range c.suspects {
 			for _, p := range suspect.Parts {
 				if known := counts[p]; known.n == 0 || known.last != i {
@@ -92,6 +94,22 @@
 	return list
 }
 
+// holdsAt returns the holds in force of parts that were never answered, all of which a suspect of the crash has.
+func (l *Ledger) holdsAt(c *crash) []*hold {
+	var list []*hold
+	for _, h := range l.holds {
+		if h.isInForce() && l.isNew(h.parts) && slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(h.parts, s.Parts) }) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// isDueToHeld reports whether a crash is due to held parts that were never answered rather than to a part that was.
+func (s *scene) isDueToHeld(crash int, p Part) bool {
+	return slices.ContainsFunc(s.held[crash], func(h *hold) bool { return !slices.Contains(h.parts, p) })
+}
+
 // isExplained reports whether a block without the part explains a crash.
 func (s *scene) isExplained(crash int, p Part) bool {
 	return slices.ContainsFunc(s.explained[crash], func(b *block) bool { return !slices.Contains(b.parts, p) })
--- /dev/null
+++ b/core/blame/several_test.go
@@ -0,0 +1,209 @@
+package blame_test
+
+import (
+	"encoding/hex"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pimentoseam/core/blame"
+	"pimentoseam/core/leave"
+)
+
+// The parts of prompts that crash engines at the same time as those with bad.
+const (
+	bad2 blame.Part = 3
+	bad3 blame.Part = 4
+)
+
+// lateCrash returns a crash with one request that had its first event a time before.
+func lateCrash(n int, after time.Duration, parts ...blame.Part) *blame.Report {
+	return &blame.Report{Late: []blame.LateCrash{{Run: leave.Run{Key: uint32(n), Started: 1}, Suspects: []blame.LateSuspect{{After: uint32(after.Milliseconds()), Parts: parts}}}}}
+}
+
+// TestHoldOutlastsCrashesOfOthers guards against a hold that ends because prompts with other parts crash engines, too.
+func TestHoldOutlastsCrashesOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		for n := range 3 {
+			l.Merge(crash(n, true, []blame.Part{system, bad, blame.Part(500 + n)}))
+		}
+		for n := range 6 {
+			time.Sleep(time.Second)
+			parts := []blame.Part{system, bad2, blame.Part(600 + n)}
+			if n%2 > 0 {
+				parts[1] = bad3
+			}
+			l.Merge(crash(10+n, true, parts))
+			if next := []blame.Part{system, bad, 700}; !l.Held(next) && !isBlocked(l, next...) {
+				t.Fatalf("not held after %d crashes under other parts", n+1)
+			}
+		}
+	})
+}
+
+// TestHoldAfterTwoBegun guards against a third engine that crashes although the first two did under a part that none had answered.
+func TestHoldAfterTwoBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		l.Merge(crash(1, true, []blame.Part{system, bad, 500}))
+		if l.Held([]blame.Part{system, bad, 501}) {
+			t.Error("held after one crash")
+		}
+		l.Merge(crash(2, true, []blame.Part{system, bad, 500})) // The same request came again.
+		if !l.Held([]blame.Part{system, bad, 501}) {
+			t.Error("not held after two crashes")
+		}
+		if l.Held([]blame.Part{system, 501}) {
+			t.Error("a prompt without the part is held")
+		}
+	})
+}
+
+// TestAnsweredPartBesideNewOnes guards against holds of a part that most prompts have, when some of them crash engines for other parts,
+// and against trials of it that are spent by these.
+func TestAnsweredPartBesideNewOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		time.Sleep(time.Second)
+		for n := range 8 {
+			part := []blame.Part{bad, bad2}[n%2]
+			l.Merge(crash(n, true, []blame.Part{system, part, blame.Part(500 + n)}, []blame.Part{system, blame.Part(2_000_000 + n)}))
+			time.Sleep(400 * time.Millisecond)
+		}
+		if l.Held([]blame.Part{system, 900}) {
+			t.Error("the part of all prompts is held")
+		}
+	})
+}
+
+// TestTrialsThatDidNotRun guards against two trials of one set at once because earlier ones, which did not run, displace them.
+func TestTrialsThatDidNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, peer := blame.New(), blame.New()
+		prompt := []blame.Part{system, bad, 500}
+		for _, ledger := range []*blame.Ledger{l, peer} {
+			answerOthers(ledger, 100)
+			for n := range 2 {
+				ledger.Merge(crash(n, true, prompt))
+			}
+		}
+		time.Sleep(time.Second)
+		for range 40 { // While no engine is up.
+			id, ok := l.Begin(prompt)
+			if !ok {
+				t.Fatal("no trial after others that did not run")
+			}
+			l.Void(id)
+			time.Sleep(100 * time.Millisecond)
+		}
+		peer.Merge(l.Report())
+		own, isOwn := l.Begin(prompt)
+		others, isOthers := peer.Begin(prompt)
+		l.Merge(peer.Report())
+		peer.Merge(l.Report())
+		if !isOwn || !isOthers {
+			t.Fatalf("trials begin: %v, %v", isOwn, isOthers)
+		}
+		if l.Confirm(own) == peer.Confirm(others) {
+			t.Error("both entries make a trial, or none")
+		}
+	})
+}
+
+// TestLateCrashes guards against prompts that crash engines seconds after their first event: parts that are never suspect, and holds
+// that an answer ends which has not gone on for longer.
+func TestLateCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		for n := range 3 {
+			time.Sleep(time.Second)
+			l.Merge(lateCrash(n, 4*time.Second, system, bad, blame.Part(500+n)))
+		}
+		next := []blame.Part{system, bad, 600}
+		if !l.Held(next) {
+			t.Fatal("not held after three crashes")
+		}
+		if l.Outlived(next, 5*time.Second) || !l.Held(next) {
+			t.Error("not held although an answer has gone on for little longer than those before")
+		}
+		for n := range 3 {
+			time.Sleep(2 * time.Second)
+			answerOthers(l, 100)
+			l.Merge(lateCrash(10+n, 4*time.Second, system, bad, blame.Part(600+n)))
+		}
+		if !isBlocked(l, next...) {
+			t.Error("not blocked after six crashes")
+		}
+	})
+}
+
+// TestLongAnswerEndsHold guards against sound parts that stay held while an answer goes on for longer than any crash took.
+func TestLongAnswerEndsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		for n := range 3 {
+			l.Merge(lateCrash(n, 1500*time.Millisecond, system, 300, blame.Part(500+n)))
+		}
+		sound := []blame.Part{system, 300, 600}
+		if !l.Held(sound) {
+			t.Fatal("not held")
+		}
+		time.Sleep(time.Second)
+		if !l.Outlived(sound, 3100*time.Millisecond) || l.Held(sound) {
+			t.Error("held although an answer has gone on for twice as long")
+		}
+	})
+}
+
+// TestComesAgain guards against holds of a sound prompt that broke off in several crashes long after its first event and came again.
+func TestComesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		for n := range 5 {
+			l.Merge(lateCrash(n, 2*time.Second, system, 300, 500))
+			time.Sleep(time.Second)
+		}
+		if l.Held([]blame.Part{system, 300, 600}) {
+			t.Error("held for one request")
+		}
+	})
+}
+
+// TestLateReport guards against late suspects that other entries can't read, or that older ones stumble over.
+func TestLateReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, peer := blame.New(), blame.New()
+		l.Crashed(leave.Run{Key: 7, Started: 8}, time.Now(), []blame.Suspect{{Begun: true, Parts: []blame.Part{1, 2}}, {Parts: []blame.Part{1, 3}, After: 1500 * time.Millisecond}})
+		data, err := cbor.Marshal(l.Report())
+		if err != nil {
+			t.Fatal(err)
+		}
+		const golden = "a2018183820708008182f58201020681838207080081821905dc820103"
+		if got := hex.EncodeToString(data); got != golden {
+			t.Errorf("report is %s, want %s", got, golden)
+		}
+		var older struct {
+			Crashes []blame.Crash `cbor:"1,keyasint,omitempty"`
+		}
+		if err := cbor.Unmarshal(data, &older); err != nil || len(older.Crashes) != 1 || len(older.Crashes[0].Suspects) != 1 {
+			t.Errorf("an older process reads %v, %v", older, err)
+		}
+		var r blame.Report
+		if err := cbor.Unmarshal(data, &r); err != nil {
+			t.Fatal(err)
+		}
+		peer.Merge(&r)
+		if got := peer.Report().Late; len(got) != 1 || got[0].Suspects[0].After != 1500 {
+			t.Errorf("the peer reports %v", got)
+		}
+	})
+}
--- a/core/blame/tell.go
+++ b/core/blame/tell.go
@@ -14,7 +14,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.turn++
-	r.Crashes = l.reportCrashes()
+	for _, c := range l.reportCrashes() {
+		r.add(c)
+	}
 	r.Answers = l.reportAnswers()
 	for _, h := range l.holds {
 		if h.isInForce() {
@@ -48,8 +50,8 @@
 	for _, run := range runs {
 		c := l.crashes[run]
 		reported := Crash{Run: run, Age: ageOf(c.at)}
-		for _, s := range c.suspects[:min(len(c.suspects), maxReportSuspects)] {
-			reported.Suspects = append(reported.Suspects, Suspect{Begun: s.Begun, Parts: l.unclearedParts(c, s)})
+		for _, s := range c.reported() {
+			reported.Suspects = append(reported.Suspects, Suspect{Begun: s.Begun, Parts: l.unclearedParts(c, s), After: s.After})
 			total += len(reported.Suspects[len(reported.Suspects)-1].Parts)
 		}
 		list = append(list, reported)
@@ -57,9 +59,9 @@
 	if total <= maxReportParts {
 		return list
 	}
-	limit := maxReportParts / (maxReported * maxReportSuspects)
-	if spare := maxReportParts - limit*maxReportSuspects*len(list); len(list) > 0 {
-		limit += spare / (maxReportSuspects * len(list))
+	limit := maxReportParts / (maxReported * maxReportStates * maxReportSuspects)
+	if spare := maxReportParts - limit*maxReportStates*maxReportSuspects*len(list); len(list) > 0 {
+		limit += spare / (maxReportStates * maxReportSuspects * len(list))
 	}
 	for _, c := range list {
 		for i, s := range c.Suspects {
@@ -69,6 +71,13 @@
 	return list
 }
 
+// reported returns the suspects that other entries are told of: the first ones, and of the late ones also the first.
+func (c *crash) reported() []Suspect {
+	soon := c.numSoon()
+	late := c.suspects[soon:]
+	return slices.Concat(c.suspects[:min(soon, maxReportSuspects)], late[:min(len(late), maxReportSuspects)])
+}
+
 // unclearedParts returns a copy of the parts of a suspect that were not answered after the crash, and its own part.
 func (l *Ledger) unclearedParts(c *crash, s Suspect) []Part {
 	list := make([]Part, 0, len(s.Parts))
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -20,9 +20,6 @@
 	// crashSettle is the time from the first connection that an upstream has closed in the middle of a request until its
 	// address is tried. The other requests there fail meanwhile.
 	crashSettle = 20 * time.Millisecond
-	// maxOnset is the time since its first event up to which a request is suspect. A prompt that crashes engines does so soon
-	// after its answer begins, which can be long after it was sent.
-	maxOnset = time.Second
 	// maxLinger is how long an engine may go on with a request without events whose connection this entry has closed. Engines
 	// stop at the next chunk of the prompt, if they notice at all; the longest prompts take a few seconds.
 	maxLinger = 10 * time.Second
@@ -67,7 +64,7 @@
 
 // abandon remembers that this entry has closed the connection of a request that was sent to an upstream.
 func (x *exchange) abandon(u *upstream, run *member.Upstream) {
-	if len(x.parts) == 0 || (!x.firstEvent.IsZero() && time.Since(x.firstEvent) > maxOnset) {
+	if len(x.parts) == 0 || (!x.firstEvent.IsZero() && time.Since(x.firstEvent) > blame.Onset) {
 		return
 	}
 	g := x.gate
@@ -83,7 +80,7 @@
 	if a.firstEvent.IsZero() {
 		return time.Since(a.at) <= maxLinger
 	}
-	return time.Since(a.firstEvent) <= maxOnset
+	return time.Since(a.firstEvent) <= blame.Onset
 }
 
 // abandonedAt returns the prompts that one run of an upstream may still run although this entry has closed their connections; the
@@ -98,16 +95,24 @@
 	return list
 }
 
-// trialPrompts returns the prompts that were sent to find out whether their parts crash engines. Whatever else the crash may be due
-// to, it says nothing of the other prompts that were there.
-func trialPrompts(suspects []suspect) []blame.Suspect {
+// prompts returns the prompts that a crash may be due to. One under which a request or parts of prompts were tried may be due to that
+// prompt; whatever else it may be due to, it says nothing of the others.
+func (b *breakage) prompts(hadTrial bool) []blame.Suspect {
 	var list []blame.Suspect
-	for _, s := range suspects {
-		if s.isTrial && len(s.prompt.Parts) > 0 {
+	for _, s := range b.suspects {
+		if len(s.prompt.Parts) > 0 && (!hadTrial || s.isTried()) {
 			list = append(list, s.prompt)
 		}
 	}
-	return list
+	if hadTrial {
+		return list
+	}
+	return append(list, b.abandoned...)
+}
+
+// isTried reports whether the request was sent to find out whether it, or parts of it, crash upstreams.
+func (s *suspect) isTried() bool {
+	return s.isTrial || s.tried != nil
 }
 
 // accuse records that an upstream closed the connection of this request. If the upstream has crashed, the request is suspect of
@@ -124,8 +129,9 @@
 	if x.trial != nil {
 		s.tried = &x.trial.of
 	}
-	if events == 0 || time.Since(x.firstEvent) <= maxOnset {
-		s.prompt = blame.Suspect{Begun: begun && events == 0, Parts: x.parts}
+	s.prompt = blame.Suspect{Begun: begun && events == 0, Parts: x.parts}
+	if events > 0 && s.age > blame.Onset {
+		s.prompt.After = s.age
 	}
 	x.checked = x.gate.accuse(u, run, s)
 	if x.trial != nil {
@@ -169,35 +175,22 @@
 	close(b.checked)
 }
 
-// recordCrash blames the suspects of an upstream that has crashed, tells the other entries and logs what follows.
-func (g *Gate) recordCrash(b *breakage) {
-	g.meter.Count("upstream crashes")
-	var requests []digest.Sum
-	var tried *digest.Sum
-	route := "" // Of the request that was tried.
-	var prompts []blame.Suspect
+// triedRoute returns the route of a request that was tried at the upstream, empty for none.
+func (b *breakage) triedRoute() string {
 	for _, s := range b.suspects {
-		requests = append(requests, s.digests...)
 		if s.tried != nil {
-			tried, route = s.tried, s.route
+			return s.route
 		}
-		if len(s.prompt.Parts) > 0 {
-			prompts = append(prompts, s.prompt)
-		}
-	}
-	isExplained := tried != nil || g.crashes.TrialAt(runOf(b.run))
-	if isExplained {
-		prompts = trialPrompts(b.suspects)
-	} else {
-		prompts = append(prompts, b.abandoned...)
-	}
-	g.logEvidence(b, isExplained)
-	hold := g.crashes.Crashed(runOf(b.run), beat.Key(b.run.Service), requests, tried)
-	suspects, held := g.crashes.Known()
-	g.log.Warn("upstream crashed", "upstream", b.run.ID, "service", b.run.Service, "requests", len(b.suspects), "trial", tried != nil, "route", route, "at", digestNames(b.suspects), "suspects", suspects, "held", held, "age", time.Since(b.at))
-	if hold != nil {
-		g.logHolds([]crash.Hold{*hold}, "itself")
 	}
+	return ""
+}
+
+// recordCrash blames the suspects of an upstream that has crashed, tells the other entries and logs what follows.
+func (g *Gate) recordCrash(b *breakage) {
+	g.meter.Count("upstream crashes")
+	hadTrial := g.crashes.TrialAt(runOf(b.run)) || slices.ContainsFunc(b.suspects, func(s suspect) bool { return s.tried != nil })
+	prompts := b.prompts(hadTrial)
+	g.logEvidence(b, hadTrial)
 	var blocks []blame.Block
 	if len(prompts) > 0 {
 		g.meter.Count("engine crashes")
@@ -206,8 +199,15 @@
 		g.logBlocks(blocks, "itself")
 		g.logChanges()
 	}
+	requests, tried := crash.Suspects(g.attempts(b))
+	hold := g.crashes.Crashed(runOf(b.run), beat.Key(b.run.Service), requests, tried)
+	suspects, held := g.crashes.Known()
+	g.log.Warn("upstream crashed", "upstream", b.run.ID, "service", b.run.Service, "requests", len(b.suspects), "trial", tried != nil, "route", b.triedRoute(), "at", digestNames(b.suspects), "suspects", suspects, "held", held, "age", time.Since(b.at))
+	if hold != nil {
+		g.logHolds([]crash.Hold{*hold}, "itself")
+	}
 	g.gossip.Trigger()
-	if hold == nil && len(blocks) == 0 && !isExplained {
+	if hold == nil && len(blocks) == 0 && !hadTrial {
 		g.readStoredAfterCrash()
 	}
 }
@@ -261,20 +261,30 @@
 	return strings.Join(names, ",")
 }
 
+// attempts returns the requests at a crash with what is known of their parts after it.
+func (g *Gate) attempts(b *breakage) []crash.Attempt {
+	list := make([]crash.Attempt, len(b.suspects))
+	for i, s := range b.suspects {
+		_, isBlocked := g.blame.Blocked(s.prompt.Parts)
+		list[i] = crash.Attempt{Digests: s.digests, Tried: s.tried, HasHeldParts: isBlocked || g.blame.Held(s.prompt.Parts)}
+	}
+	return list
+}
+
 // logEvidence logs for each prompt that broke off in a crash whether that is evidence against its parts.
-func (g *Gate) logEvidence(b *breakage, isExplained bool) {
+func (g *Gate) logEvidence(b *breakage, hadTrial bool) {
 	for _, s := range b.suspects[:min(len(b.suspects), maxLoggedSuspects)] {
 		if s.names == "" {
 			continue
 		}
 		counts, why := true, "not answered"
 		switch {
-		case s.isTrial:
-			why = "trial of parts"
-		case isExplained:
+		case s.isTried():
+			why = "trial"
+		case hadTrial:
 			counts, why = false, "a request was tried there"
-		case len(s.prompt.Parts) == 0:
-			counts, why = false, "long since its first event"
+		case s.prompt.After > 0:
+			why = "long since its first event"
 		}
 		g.log.Info("crash of parts", "id", s.id, "upstream", b.run.ID, "parts", s.names, "begun", s.prompt.Begun, "events", s.events, "since", s.age, "counts", counts, "why", why)
 	}
--- /dev/null
+++ b/io/gate/crashparts_test.go
@@ -0,0 +1,217 @@
+package gate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pimentoseam/io/simop"
+)
+
+const (
+	crashEngines = 9                       // Of them two process prompts.
+	crashBack    = 3500 * time.Millisecond // Time that a crashed engine is down.
+)
+
+// crashTally is what one part of prompts did to engines.
+type crashTally struct {
+	mu       sync.Mutex
+	crashes  []time.Time
+	arrivals []time.Time // Prefills included.
+}
+
+// lateArrivals returns the number of crashes, and of prompts that reached engines later than contactTime after the fifth one.
+func (t *crashTally) lateArrivals() (crashes, late int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, at := range t.arrivals {
+		if len(t.crashes) >= allowedCrash && at.After(t.crashes[allowedCrash-1].Add(contactTime)) {
+			late++
+		}
+	}
+	return len(t.crashes), late
+}
+
+// partFleet is engines that crash under prompts with some parts, and start again at the same address as other replicas.
+type partFleet struct {
+	t       *testing.T
+	store   *simop.Store
+	stage   simop.CrashStage
+	after   time.Duration // From the first event to the crash.
+	tallies map[string]*crashTally
+
+	mu      sync.Mutex
+	engines map[int]*simop.Replica // By slot, without those that are down.
+	started int
+	closed  bool
+}
+
+// newPartFleet starts the engines.
+func newPartFleet(t *testing.T, store *simop.Store, stage simop.CrashStage, after time.Duration, parts ...string) *partFleet {
+	f := &partFleet{t: t, store: store, stage: stage, after: after, tallies: make(map[string]*crashTally), engines: make(map[int]*simop.Replica)}
+	for _, part := range parts {
+		f.tallies[part] = &crashTally{}
+	}
+	for slot := range crashEngines {
+		l, err := net.Listen("tcp", freeAddrs(t, 1)[0].String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.start(slot, l)
+	}
+	t.Cleanup(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.closed = true
+		for _, e := range f.engines {
+			e.Close()
+		}
+	})
+	return f
+}
+
+// start starts and registers a new engine in a slot.
+func (f *partFleet) start(slot int, l net.Listener) {
+	stage := "decode"
+	if slot < 2 {
+		stage = "prefill"
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		_ = l.Close() // The test has ended.
+		return
+	}
+	f.started++
+	e := simop.NewReplica(fmt.Sprintf("e-%d", f.started), "lm", stage, simop.WithListener(l))
+	e.SetBorn(time.Now().UnixMilli())
+	e.SetStream(20, 30*time.Millisecond, 0)
+	var crashes []*simop.Crash
+	for part, tally := range f.tallies {
+		crashes = append(crashes, &simop.Crash{Matches: simop.HasPart(part), Stage: f.stage, After: f.after, OnArrival: func(string) {
+			tally.mu.Lock()
+			defer tally.mu.Unlock()
+			tally.arrivals = append(tally.arrivals, time.Now())
+		}, OnCrash: func() { f.crash(slot, e, tally) }})
+	}
+	e.SetCrash(crashes...)
+	f.engines[slot] = e
+	f.store.Put("servers/"+e.ID, e.Registration("ready"))
+}
+
+// crash records that an engine has crashed unless it had already, and starts another one later.
+func (f *partFleet) crash(slot int, e *simop.Replica, tally *crashTally) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.engines[slot] != e || f.closed {
+		return
+	}
+	delete(f.engines, slot)
+	tally.mu.Lock()
+	tally.crashes = append(tally.crashes, time.Now())
+	tally.mu.Unlock()
+	time.AfterFunc(crashBack, func() {
+		f.store.Remove("servers/" + e.ID)
+		l, err := net.Listen("tcp", e.Addr().String())
+		if err != nil {
+			f.t.Errorf("engine not started again: %v", err)
+			return
+		}
+		f.start(slot, l)
+	})
+}
+
+// startProcesses runs four gates of two zones as processes until the test ends.
+func startProcesses(t *testing.T, binary string, store *simop.Store) []*testGate {
+	t.Helper()
+	logs := t.TempDir()
+	if keep := os.Getenv("KEEP"); keep != "" {
+		logs = keep
+	}
+	number, peer := int(clusters.Add(1)), freeAddrs(t, 1)[0].Port()
+	var gates []*testGate
+	for i := range gatesPerSize {
+		set := newSettings(t, store, "")
+		set.Name, set.Zone = fmt.Sprintf("gate-%d", i), []string{"east", "west"}[i%2]
+		host := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(number), byte(100 + i)})
+		for _, addr := range []*netip.AddrPort{&set.Listen, &set.Ready, &set.Share, &set.Debug} {
+			*addr = netip.AddrPortFrom(host, addr.Port())
+		}
+		set.Peer = netip.AddrPortFrom(host, peer)
+		if i > 0 {
+			set.Seeds = gates[0].set.Share.String()
+		}
+		launchProcess(t, binary, logs, "gate", set.Name, set)
+		gates = append(gates, &testGate{store: store, set: set})
+	}
+	for _, g := range gates {
+		g.waitReady(t)
+	}
+	return gates
+}
+
+// TestSeveralAndLateParts guards against prompts that still reach engines long after the fifth crash under one of their parts,
+// where several parts crash engines at the same time or engines crash seconds after the first event.
+func TestSeveralAndLateParts(t *testing.T) {
+	binary := buildBinary(t)
+	one, three := []string{"bad0"}, []string{"bad0", "bad1", "bad2"}
+	for name, test := range map[string]struct {
+		stage  simop.CrashStage
+		after  time.Duration
+		parts  []string
+		pause  time.Duration // Between two prompts with a part.
+		length time.Duration
+	}{
+		"three parts":             {stage: simop.AfterHead, parts: three, pause: 250 * time.Millisecond, length: 24 * time.Second},
+		"1.1 s after an event":    {stage: simop.InsideBody, after: 1100 * time.Millisecond, parts: one, pause: 400 * time.Millisecond, length: 20 * time.Second},
+		"4 s after an event":      {stage: simop.InsideBody, after: 4 * time.Second, parts: one, pause: 400 * time.Millisecond, length: 24 * time.Second},
+		"three parts after 1.5 s": {stage: simop.InsideBody, after: 1500 * time.Millisecond, parts: three, pause: 500 * time.Millisecond, length: 24 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			store.Put("op/config", config(1, 3000))
+			fleet := newPartFleet(t, store, test.stage, test.after, test.parts...)
+			gates := startProcesses(t, binary, store)
+			stop := make(chan struct{})
+			var wait sync.WaitGroup
+			var sound, served atomic.Int64
+			paths := []string{"/fixed/x", "/model/x"}
+			load(t, gates, 40*time.Millisecond, stop, &wait, func(i int) (string, []string) {
+				return paths[i%2], []string{"aa", fmt.Sprintf("50%d", rand.N(40))}
+			}, func(_, status int) {
+				sound.Add(1)
+				if status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+			time.Sleep(2 * time.Second) // Most sound parts have been answered.
+			for i, part := range test.parts {
+				load(t, gates, test.pause, stop, &wait, func(int) (string, []string) {
+					return paths[i%2], []string{"aa", fmt.Sprintf("50%d", i), part}
+				}, func(int, int) {})
+			}
+			time.Sleep(test.length)
+			close(stop)
+			wait.Wait()
+			t.Logf("%d of %d sound prompts were served", served.Load(), sound.Load())
+			if 2*served.Load() < sound.Load() {
+				t.Errorf("%d of %d sound prompts were served, want half at least", served.Load(), sound.Load())
+			}
+			for part, tally := range fleet.tallies {
+				crashes, late := tally.lateArrivals()
+				t.Logf("%s: %d crashes, %d prompts later than %v after the fifth", part, crashes, late, contactTime)
+				if late > allowedAfter {
+					t.Errorf("%s: %d prompts reached engines later than %v after the fifth crash, want %d at most", part, late, contactTime, allowedAfter)
+				}
+			}
+		})
+	}
+}
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -185,9 +185,8 @@
 		if x.firstEvent.IsZero() && events.Count() > 0 {
 			x.firstEvent = time.Now()
 		}
-		if !x.outlived && !x.firstEvent.IsZero() && time.Since(x.firstEvent) > maxOnset {
-			x.outlived = true
-			x.gate.blame.Outlived(x.parts)
+		if !x.outlived && !x.firstEvent.IsZero() {
+			x.outlived = x.gate.blame.Outlived(x.parts, time.Since(x.firstEvent))
 		}
 		if !x.sendEvents(resp, events) {
 			return abandoned
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -242,11 +242,35 @@
 	return binary
 }
 
+// launchProcess starts a command of the binary with settings until the test ends; its log is kept in a directory.
+func launchProcess(t *testing.T, binary, logs, command, name string, settings any) *process {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), name+".json")
+	data, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(logs, name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{args: []string{binary, command, "--settings", file}, log: log}
+	p.start(t)
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.end(t, syscall.SIGKILL)
+		_ = log.Close() // Nothing reads the file but people, after the test.
+	})
+	return p
+}
+
 // newSoakCluster starts a cluster of a multiple of the default size without faults.
 func newSoakCluster(t *testing.T, binary string, size int, hasCrashes bool) *soakCluster {
 	t.Helper()
-	dir := t.TempDir()
-	logs := dir
+	logs := t.TempDir()
 	if keep := os.Getenv("KEEP"); keep != "" {
 		logs = keep
 	}
@@ -255,26 +279,7 @@
 	c.configure()
 	peer := freeAddrs(t, 1)[0].Port()
 	launch := func(command, name string, settings any) *process {
-		file := filepath.Join(dir, name+".json")
-		data, err := json.Marshal(settings)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(file, data, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		log, err := os.Create(filepath.Join(logs, name+".log"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		p := &process{args: []string{binary, command, "--settings", file}, log: log}
-		p.start(t)
-		t.Cleanup(func() {
-			p.signal(syscall.SIGCONT)
-			p.end(t, syscall.SIGKILL)
-			_ = log.Close() // Nothing reads the file but people, after the test.
-		})
-		return p
+		return launchProcess(t, binary, logs, command, name, settings)
 	}
 	for range appsPerSize * size {
 		c.addApp(int(c.added.Add(1)))
--- a/io/simop/crash.go
+++ b/io/simop/crash.go
@@ -1,8 +1,10 @@
 package simop
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -24,15 +26,16 @@
 type Crash struct {
 	Matches   func(req *http.Request, body string) bool
 	Stage     CrashStage
+	After     time.Duration   // From the first event of a stream to the crash if Stage is InsideBody; 0 for crashDelay.
 	OnArrival func(id string) // Called with the attempt ID of each of these requests, prefills included.
 	OnCrash   func()          // Called once the replica has crashed.
 }
 
-// SetCrash makes the replica crash under some requests.
-func (r *Replica) SetCrash(c *Crash) {
+// SetCrash makes the replica crash under some requests, each of them as the first crash that matches it states.
+func (r *Replica) SetCrash(crashes ...*Crash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crash = c
+	r.crashes = crashes
 }
 
 // HasPart returns a function that matches prompts with a part.
@@ -45,16 +48,18 @@
 // crashUnder returns the crash that a request causes, nil for none. A request whose prompt is only read causes none.
 func (r *Replica) crashUnder(req *http.Request) *Crash {
 	r.mu.Lock()
-	c := r.crash
+	crashes := r.crashes
 	r.mu.Unlock()
-	if c == nil {
+	if len(crashes) == 0 {
 		return nil
 	}
 	body, _ := io.ReadAll(req.Body) // Fails only if the caller has disconnected.
 	req.Body = io.NopCloser(strings.NewReader(string(body)))
-	if !c.Matches(req, string(body)) {
+	i := slices.IndexFunc(crashes, func(c *Crash) bool { return c.Matches(req, string(body)) })
+	if i < 0 {
 		return nil
 	}
+	c := crashes[i]
 	c.OnArrival(req.Header.Get("X-Attempt-Id"))
 	if req.Header.Get("X-Stage") == "prefill" {
 		return nil
@@ -69,6 +74,7 @@
 	r.runs[id]++
 	stage := r.stage
 	r.mu.Unlock()
+	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Response-Seal", r.ID+"."+id)
 	if stage != "" {
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -84,6 +90,9 @@
 	if c.Stage != BeforeHead {
 		_ = http.NewResponseController(w).Flush() // Fails as above.
 	}
+	if c.After > 0 {
+		r.streamUntil(w, time.Now().Add(c.After))
+	}
 	time.Sleep(crashDelay)
 	go func() {
 		r.Crash()
@@ -91,3 +100,15 @@
 	}()
 	panic(http.ErrAbortHandler)
 }
+
+// eventPause is the time between two events of a stream under which the replica crashes late.
+const eventPause = 100 * time.Millisecond
+
+// streamUntil sends events until a time, the first of which ends the one that has begun.
+func (r *Replica) streamUntil(w http.ResponseWriter, end time.Time) {
+	for i := 2; time.Now().Before(end); i++ {
+		_, _ = fmt.Fprintf(w, "\ndata: %s\n\nid: %d", r.ID, i+1) // Fails only if the caller has disconnected.
+		_ = http.NewResponseController(w).Flush()                // Fails as above.
+		time.Sleep(eventPause)
+	}
+}
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -45,7 +45,7 @@
 	conns          map[net.Conn]bool // The open connections.
 	mostConns      int               // The most connections that were open at a time.
 	arrivals       []time.Time       // Times of all calls, including those that were turned away.
-	crash          *Crash            // The requests that crash the replica; nil for none.
+	crashes        []*Crash          // The requests that crash the replica.
 	onStage        func()            // Unless nil, called after each order.
 	onOrder        func()            // Unless nil, called with each order in place of carrying it out; the connection is closed.
 }
