head, answer: one strict reader of answers for all clients; an answer isn't whole if a reset met its upload

Callers got, as answers: status 600 and 999; the inner answer after a status of 000, 099 or 101; chunk sizes as a body ('Transfer-Encoding : chunked'); answers with a blank or a control byte in a field name, also in interim heads and trailers; and the part of an answer without a length that came before a reset, while their long body was being sent.

Cause: answers were read by net/http's parser, which is laxer than core/head is for requests; and the write of a long body takes the connection's error (ECONNRESET, EPIPE) from the kernel, after which the read sees an ordinary end. Change: core/head.Answers scans heads, interim heads, bodies and trailers of a connection byte by byte and shares framing fields and chunks with the scanner of requests. io/answer.Conn lets only what it accepts through, and turns the end of an answer without a length into an error if a write has failed, is in progress, or has begun since the answer did. Their heads are limited to 64 kB now (10 MB for most before).

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./core/crash
 	go test -run '^$$' -fuzz FuzzAdd -fuzztime $(FUZZTIME) ./core/stream
 	go test -run '^$$' -fuzz FuzzScan -fuzztime $(FUZZTIME) ./core/head
+	go test -run '^$$' -fuzz FuzzAnswers -fuzztime $(FUZZTIME) ./core/head
 	go test -run '^$$' -fuzz FuzzReadConfig -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzReadMember -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzReadCall -fuzztime $(FUZZTIME) ./platform
--- a/core/head/scanner.go
+++ b/core/head/scanner.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math"
 	"net/http"
 	"strings"
 )
@@ -47,10 +46,7 @@
 	isHTTP10 bool
 	hasHost  bool
 
-	digits      int // Digits of Content-Length; 0 without that field.
-	length      int64
-	codings     int  // Number of transfer codings.
-	hasUnknown  bool // A transfer coding other than chunked.
+	framing
 	badTrailers bool // The Trailer field names a field that a trailer must not have.
 }
 
@@ -203,42 +199,6 @@
 	return nil
 }
 
-func (s *Scanner) addLength(value []byte) error {
-	if len(value) == 0 {
-		return bad("empty Content-Length")
-	}
-	n := int64(0)
-	for _, b := range value {
-		if !isDigit(b) {
-			return bad("malformed Content-Length")
-		}
-		digit := int64(b - '0')
-		if n > (math.MaxInt64-digit)/10 {
-			return bad("Content-Length overflows")
-		}
-		n = 10*n + digit
-	}
-	// net/http also refuses equal numbers that are written with different numbers of zeros.
-	if s.digits > 0 && (n != s.length || len(value) != s.digits) {
-		return bad("unequal Content-Length fields")
-	}
-	s.digits, s.length = len(value), n
-	return nil
-}
-
-func (s *Scanner) addCodings(value []byte) error {
-	for coding := range bytes.SplitSeq(value, []byte{','}) {
-		coding = trim(coding)
-		name, _, _ := bytes.Cut(coding, []byte{';'})
-		if name = trim(name); len(name) == 0 || !only(name, token) {
-			return bad("malformed Transfer-Encoding")
-		}
-		s.codings++
-		s.hasUnknown = s.hasUnknown || !isName(coding, "chunked")
-	}
-	return nil
-}
-
 // check checks what depends on several lines of the head.
 func (s *Scanner) check(data []byte) error {
 	target, host := data[s.target.from:s.target.to], data[s.host.from:s.host.to]
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -13,6 +13,7 @@
 	"pimentoseam/core/crash"
 	"pimentoseam/core/event"
 	"pimentoseam/core/report"
+	"pimentoseam/io/answer"
 	"pimentoseam/io/limit"
 )
 
@@ -53,7 +54,7 @@
 
 // New returns a Client that authenticates with the operators' token.
 func New(addr netip.AddrPort, token string) *Client {
-	return &Client{base: "http://" + addr.String(), token: token, http: &http.Client{Timeout: callTimeout}}
+	return &Client{base: "http://" + addr.String(), token: token, http: &http.Client{Timeout: callTimeout, Transport: answer.NewTransport(nil)}}
 }
 
 // Config returns the current configuration; its error is a *Error.
--- /dev/null
+++ b/io/answer/doc.go
@@ -0,0 +1,5 @@
+// Package answer checks what clients of HTTP receive before it is parsed.
+//
+// The parser of net/http accepts heads that other implementations read otherwise, and takes an interrupted connection for an ended
+// one if a write has got its error. All clients of this project read through this package.
+package answer
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -68,17 +68,18 @@
 	if err != nil {
 		return false, err
 	}
+	c.checked.Expect(r.Method)
 	if len(r.Body) <= maxInlineBody {
-		n, err := c.Write(append(head, r.Body...))
+		n, err := c.checked.Write(append(head, r.Body...))
 		return n > 0, err
 	}
 	// An upstream may respond before it reads a long body, so the body is written while the response is read.
-	if n, err := c.Write(head); err != nil {
+	if n, err := c.checked.Write(head); err != nil {
 		return n > 0, err
 	}
 	c.bodyWritten = make(chan error, 1)
 	go func(done chan<- error) {
-		_, err := c.Write(r.Body)
+		_, err := c.checked.Write(r.Body)
 		done <- err
 	}(c.bodyWritten)
 	return true, nil
@@ -178,7 +179,7 @@
 		return
 	}
 	r.closed = true
-	usable := r.stopCancel() && r.complete && !r.Response.Close && r.Framing() != Connection && r.conn.reader.Buffered() == 0
+	usable := r.stopCancel() && r.complete && !r.Response.Close && r.Framing() != Connection && !r.conn.hasMore()
 	if usable && r.conn.bodyWritten != nil {
 		select {
 		case err := <-r.conn.bodyWritten:
--- a/io/client/pool.go
+++ b/io/client/pool.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"pimentoseam/io/answer"
 	"pimentoseam/io/socket"
 )
 
@@ -141,7 +142,8 @@
 type conn struct {
 	net.Conn
 	addr        netip.AddrPort
-	source      *limitedReader // Reads from Conn.
+	checked     *answer.Conn   // Over Conn.
+	source      *limitedReader // Reads from checked.
 	reader      *bufio.Reader  // Reads from source.
 	expires     time.Time      // Time from which an idle connection isn't reused.
 	opened      time.Time      // When it was established, at the latest.
@@ -210,8 +212,9 @@
 		p.releaseSlot(addr)
 		return nil, &NotSent{Cause: cause(ctx, err)}
 	}
-	source := &limitedReader{Reader: raw}
-	return &conn{Conn: raw, addr: addr, source: source, reader: bufio.NewReaderSize(source, readBufferSize), opened: time.Now(), hasLost: p.hasLost(addr)}, nil
+	checked := answer.New(raw)
+	source := &limitedReader{Reader: checked}
+	return &conn{Conn: raw, checked: checked, addr: addr, source: source, reader: bufio.NewReaderSize(source, readBufferSize), opened: time.Now(), hasLost: p.hasLost(addr)}, nil
 }
 
 // recordLoss records for later connections that the upstream has closed an idle one, if it has.
@@ -336,9 +339,14 @@
 	}
 }
 
+// hasMore reports whether bytes have arrived that nothing has read.
+func (c *conn) hasMore() bool {
+	return c.reader.Buffered() > 0 || !c.checked.IsSound()
+}
+
 // isReusable reports whether an idle connection is open, has not expired and has received no unsolicited data.
 func (c *conn) isReusable() bool {
-	if c.reader.Buffered() > 0 || !time.Now().Before(c.expires) {
+	if c.hasMore() || !time.Now().Before(c.expires) {
 		return false
 	}
 	return socket.Peek(c.Conn) == socket.Idle
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pimentoseam/core/frame"
+	"pimentoseam/io/answer"
 	"pimentoseam/io/limit"
 )
 
@@ -19,7 +20,6 @@
 	stateTimeout   = 2 * time.Second
 	commandTimeout = time.Minute
 	maxIdleConns   = 256
-	maxHeadBytes   = 64 << 10 // Limit of a response head. The default of net/http, 10 MB, is too much for hundreds of calls.
 	maxStateBytes  = 64 << 10 // Limit of a state.
 )
 
@@ -70,10 +70,12 @@
 
 // New returns a Client for the upstream at addr.
 func New(addr netip.AddrPort) *Client {
-	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}
+	pooled := answer.NewTransport(nil)
+	pooled.MaxIdleConnsPerHost = maxIdleConns
 	// The transport repeats a call whose pooled connection breaks, so each call that must run at most once gets a
 	// new connection.
-	unpooled := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	unpooled := answer.NewTransport(nil)
+	unpooled.DisableKeepAlives = true
 	return &Client{
 		base:     "http://" + addr.String(),
 		pooled:   &http.Client{Transport: pooled},
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,6 +16,7 @@
 	"pimentoseam/core/pick"
 	"pimentoseam/core/retry"
 	"pimentoseam/core/setup"
+	"pimentoseam/io/answer"
 	"pimentoseam/io/proc"
 	"pimentoseam/io/server"
 	"pimentoseam/io/store"
@@ -34,6 +35,7 @@
 	log            *slog.Logger
 	events         *event.Log
 	store          *store.Client
+	peers          *http.Client // Of other processes' control interfaces.
 	vms            *vmlist.Client
 	public         *server.Server
 	admin          *server.Server
@@ -65,6 +67,7 @@
 		log:            proc.Logger(settings.Name),
 		events:         event.New(settings.Name, maxEvents),
 		store:          store.New(settings.Store),
+		peers:          &http.Client{Transport: answer.NewTransport(nil)},
 		budget:         retry.New(retryRatio),
 		blame:          blame.New(),
 		crashes:        crash.New(),
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -38,7 +38,7 @@
 		return nil, &PeerError{URL: url, Cause: err}
 	}
 	r.Header.Set("Authorization", "Bearer "+e.settings.Secret)
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := e.peers.Do(r)
 	if err != nil {
 		return nil, &PeerError{URL: url, Cause: err}
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -138,7 +138,7 @@
 		memberSet: member.New(), leaving: leave.New(), upstreamStates: make(map[string]*upstream), budgets: make(map[string]*budget.Budget), outages: make(map[string]*outage.Outage), curves: make(map[string]*curve.Curve), intervals: make(map[string]*pace.Interval),
 		storeList: upstreamList{Items: make(map[string]platform.Item), Gone: make(map[string]int64)},
 		started:   time.Now(), newerBeats: make(chan *beat.Beat, 1),
-		peerClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
+		peerClient: newPeerClient(),
 	}
 	g.current.Store(settings)
 	g.stop.init()
--- a/io/gate/sync.go
+++ b/io/gate/sync.go
@@ -10,6 +10,7 @@
 
 	"pimentoseam/core/beat"
 	"pimentoseam/core/stamp"
+	"pimentoseam/io/answer"
 	"pimentoseam/io/follow"
 	"pimentoseam/io/limit"
 	"pimentoseam/io/proc"
@@ -77,6 +78,14 @@
 	g.log.Info("members", "revision", l.Revision, "after", after, "changes", len(u.Items), "whole", l.Whole, "from", b.Name)
 }
 
+// newPeerClient returns a client for what other entries share.
+func newPeerClient() *http.Client {
+	const idleTimeout = 5 * time.Second
+	transport := answer.NewTransport(nil)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 1, idleTimeout
+	return &http.Client{Transport: transport}
+}
+
 // fetch decodes the response to a GET request to the entry that sent b. If that fails, it logs the error and returns
 // false.
 func (g *Gate) fetch(ctx context.Context, b *beat.Beat, path string, into any) bool {
--- a/io/load/mix.go
+++ b/io/load/mix.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 
 	"pimentoseam/core/fault"
+	"pimentoseam/io/answer"
 	"pimentoseam/io/simai"
 )
 
@@ -82,7 +83,8 @@
 
 // New returns a Generator that spreads its requests over the entries.
 func New(entries []netip.AddrPort) *Generator {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns}
+	transport := answer.NewTransport(nil)
+	transport.MaxIdleConnsPerHost = maxIdleConns
 	g := &Generator{
 		entries: entries,
 		http:    &http.Client{Timeout: requestTimeout, Transport: transport},
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"pimentoseam/io/answer"
 	"pimentoseam/io/limit"
 )
 
@@ -75,7 +76,7 @@
 
 // New returns a Client for the store at addr.
 func New(addr netip.AddrPort) *Client {
-	return &Client{baseURL: "http://" + addr.String(), http: &http.Client{}}
+	return &Client{baseURL: "http://" + addr.String(), http: &http.Client{Transport: answer.NewTransport(nil)}}
 }
 
 // Get reads key; its error is an *UnavailableError or a *NoResponseError.
--- a/io/tally/tally.go
+++ b/io/tally/tally.go
@@ -9,6 +9,7 @@
 
 	"pimentoseam/core/rank"
 	"pimentoseam/core/usage"
+	"pimentoseam/io/answer"
 	"pimentoseam/io/proc"
 )
 
@@ -64,10 +65,12 @@
 // apart that have the same name and start.
 func New(name, zone string, start time.Time, addr netip.AddrPort, length time.Duration, clock Clock, entry Entry, log *slog.Logger) *Tally {
 	source := usage.Source{Name: sourceName(name, addr.String()), Start: start.UnixNano()}
+	transport := answer.NewTransport(nil)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout, transport.DisableCompression = 1, 3*copyInterval, true
 	return &Tally{
 		name: name, zone: zone, length: length, clock: clock, entry: entry, log: log, book: usage.New(source, zone),
 		// Copies are sent every second, so the connection to the entry that has them stays open.
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * copyInterval, DisableCompression: true}},
+		http: &http.Client{Transport: transport},
 	}
 }
 
--- a/io/vmlist/client.go
+++ b/io/vmlist/client.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"pimentoseam/io/answer"
 	"pimentoseam/io/limit"
 )
 
@@ -73,7 +74,7 @@
 
 // New returns a Client for the list served at addr.
 func New(addr netip.AddrPort, opts ...Option) *Client {
-	c := &Client{listURL: "http://" + addr.String() + "/v1/vms", http: &http.Client{Timeout: callTimeout}, onOdd: func(int, error) {}}
+	c := &Client{listURL: "http://" + addr.String() + "/v1/vms", http: &http.Client{Timeout: callTimeout, Transport: answer.NewTransport(nil)}, onOdd: func(int, error) {}}
 	for _, opt := range opts {
 		opt(c)
 	}
