--- a/io/entry/chat.go
+++ b/io/entry/chat.go
@@ -161,6 +161,7 @@
 		return e.respondBuffered(w, q)
 	}
 	out := &eventSink{w: w, stream: stream}
+	defer out.drop()
 	q.sink = out
 	fail := q.relay()
 	if fail == nil {
@@ -179,6 +180,7 @@
 // respondBuffered collects the complete answer of q before it sends it to the caller.
 func (e *Entry) respondBuffered(w http.ResponseWriter, q *request) *fault.Error {
 	out := &bufferSink{isJSON: q.target.Kind == conf.Model}
+	defer out.drop()
 	q.sink = out
 	if fail := q.relay(); fail != nil {
 		return fail
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -136,6 +136,7 @@
 // prefill has up process the prompt and sets the handle of the resulting KV cache for the decode.
 func (q *request) prefill(up *upstream) outcome {
 	out := &bufferSink{}
+	defer out.drop()
 	sub := *q // Its crashes are copied back.
 	sub.sink = out
 	sub.run.Path = "/v1/prefill"
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -88,6 +88,7 @@
 	defer stream.Close()
 	q.ctx = stream.Context()
 	out := &bufferSink{}
+	defer out.drop()
 	q.sink = out
 	if fail := q.relayOnce(); fail != nil {
 		return fail
--- a/io/entry/sink.go
+++ b/io/entry/sink.go
@@ -13,9 +13,6 @@
 	"pimentoseam/io/server"
 )
 
-// maxBufferedBytes is the maximum size in bytes of an answer that is not streamed.
-const maxBufferedBytes = 8 << 20
-
 // eventSink streams server-sent events and sends only complete events. An answer that is not a stream, such as an
 // error, is collected and sent at its end.
 type eventSink struct {
@@ -26,7 +23,7 @@
 	started     bool             // The head was sent.
 	events      *stream.Splitter // Nil if the answer is not a stream.
 	hasDone     bool             // The event that ends a chat stream was sent.
-	body        []byte           // The answer if it is not a stream.
+	collector                    // The answer if it is not a stream.
 }
 
 // incompleteError reports an answer that its upstream ended properly, but that is not whole.
@@ -64,11 +61,7 @@
 
 func (s *eventSink) write(p []byte) error {
 	if s.events == nil {
-		if len(s.body)+len(p) > maxBufferedBytes {
-			return &tooLargeError{}
-		}
-		s.body = append(s.body, p...)
-		return nil
+		return s.add(p)
 	}
 	unsound := s.events.Add(p)
 	if events := s.events.Take(); len(events) > 0 {
@@ -96,7 +89,10 @@
 
 func (s *eventSink) hasDelivered() bool { return s.started }
 
-func (s *eventSink) reset() { s.events, s.body = nil, nil }
+func (s *eventSink) reset() {
+	s.events = nil
+	s.drop()
+}
 
 // end sends the rest of an answer whose upstream has ended it. An upstream that fails may end it properly too, so a
 // stream must have its last event.
@@ -126,10 +122,10 @@
 	isJSON      bool // A successful answer must be one JSON value.
 	status      int
 	contentType string
-	body        []byte
+	collector
 }
 
-// tooLargeError reports an answer larger than maxBufferedBytes.
+// tooLargeError reports an answer larger than maxBufferedBytes, or one for which there is no room beside others.
 type tooLargeError struct{}
 
 // Error returns a fixed text.
@@ -156,11 +152,7 @@
 }
 
 func (s *bufferSink) write(p []byte) error {
-	if len(s.body)+len(p) > maxBufferedBytes {
-		return &tooLargeError{}
-	}
-	s.body = append(s.body, p...)
-	return nil
+	return s.add(p)
 }
 
 func (s *bufferSink) end() error {
@@ -181,7 +173,7 @@
 
 func (s *bufferSink) hasDelivered() bool { return false }
 
-func (s *bufferSink) reset() { s.body = nil }
+func (s *bufferSink) reset() { s.drop() }
 
 // send writes the collected answer to the caller.
 func (s *bufferSink) send(w http.ResponseWriter) {
