soak: heads that are none, long uploads to upstreams that reset, engines that crash seconds after the first event

Every 37th request of a caller has a body of 1 MB; upstreams with a cut answer reset under it. Upstreams that answer for other requests send malformed heads, too.

--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -44,6 +44,11 @@
 	// slowEvery is how many requests of a caller have one with a slow body among them, which takes up to maxSlowBody.
 	slowEvery   = 16
 	maxSlowBody = 2 * time.Second
+	// longEvery is how many requests of a caller have one with a body of longBody bytes among them, which buffers of the kernel don't hold.
+	longEvery = 37
+	longBody  = 1 << 20
+	// lateCrash is the time from the first event of a prompt to the crash of its engine under some seeds.
+	lateCrash = 1500 * time.Millisecond
 )
 
 // process is a gate or an agent that runs as a process of its own and can be killed, suspended and restarted.
@@ -118,9 +123,10 @@
 	storeRelays []*simnet.Relay // The relay between each gate and the store.
 	agents      []*process
 	engines     []*simop.Replica
-	version     atomic.Int64 // Version of the newest configuration.
-	added       atomic.Int64 // Number of replicas of the app service that were ever added.
-	hasCrashes  bool         // Some prompts crash the engines.
+	version     atomic.Int64  // Version of the newest configuration.
+	added       atomic.Int64  // Number of replicas of the app service that were ever added.
+	hasCrashes  bool          // Some prompts crash the engines.
+	crashAfter  time.Duration // From the first event of such a prompt to the crash; 0 for before it.
 
 	mu         sync.Mutex
 	apps       []*relayedReplica // The replicas of the app service that faults are injected into.
@@ -167,7 +173,7 @@
 
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
 // requests of unsafe routes run at most once, and not at all if they were rejected; repeats stay within their budget; what was accepted is answered; streams go on at one replica at a time; no process ends by itself; responses are complete; no gate
-// returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines and requests that crash plain upstreams, which odd seeds send, soon reach none; and
+// returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines, under every other odd seed seconds after the first event, and requests that crash plain upstreams, which odd seeds send, soon reach none; and
 // requests are served again soon after the last fault. The environment
 // variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
 // directory for the logs.
@@ -194,7 +200,7 @@
 		}
 	}
 	t.Logf("seed %d, %v, size %d", seed, length, size)
-	c := newSoakCluster(t, buildBinary(t), size, seed%2 == 1)
+	c := newSoakCluster(t, buildBinary(t), size, seed%2 == 1, []time.Duration{0, lateCrash}[seed/2%2])
 	stop := make(chan struct{})
 	var callers, faultSeries sync.WaitGroup
 	for i := range callersPerSize * size {
@@ -267,14 +273,15 @@
 	return p
 }
 
-// newSoakCluster starts a cluster of a multiple of the default size without faults.
-func newSoakCluster(t *testing.T, binary string, size int, hasCrashes bool) *soakCluster {
+// newSoakCluster starts a cluster of a multiple of the default size without faults. With hasCrashes some prompts crash engines, at once or
+// a time after their first event.
+func newSoakCluster(t *testing.T, binary string, size int, hasCrashes bool, crashAfter time.Duration) *soakCluster {
 	t.Helper()
 	logs := t.TempDir()
 	if keep := os.Getenv("KEEP"); keep != "" {
 		logs = keep
 	}
-	c := &soakCluster{t: t, number: int(clusters.Add(1)), store: newStore(t), served: make(map[string]int64), faults: make(faultLog), arrivals: make(map[string][]*soakArrival), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, disturbed: make([]disturbance, gatesPerSize*size)}
+	c := &soakCluster{t: t, number: int(clusters.Add(1)), store: newStore(t), served: make(map[string]int64), faults: make(faultLog), arrivals: make(map[string][]*soakArrival), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, crashAfter: crashAfter, disturbed: make([]disturbance, gatesPerSize*size)}
 	t.Cleanup(c.stopEngines)
 	c.configure()
 	peer := freeAddrs(t, 1)[0].Port()
@@ -333,7 +340,8 @@
 // configure writes the next configuration version. Only this version has a route with the prefix /genVERSION/.
 func (c *soakCluster) configure() {
 	v := c.version.Add(1)
-	c.store.Put("op/config", []byte(strings.ReplaceAll(string(config(int(v), 3000)), "/plain/", fmt.Sprintf("/gen%d/", v))))
+	text := strings.NewReplacer("/plain/", fmt.Sprintf("/gen%d/", v), `"maxBodyBytes":65536`, fmt.Sprintf(`"maxBodyBytes":%d`, 2*longBody)).Replace(string(config(int(v), 3000)))
+	c.store.Put("op/config", []byte(text))
 }
 
 // addApp starts and registers a replica of the app service behind a relay.
@@ -491,6 +499,12 @@
 	}
 }
 
+// oddHeads begin heads that are malformed.
+var oddHeads = []string{
+	"HTTP/1.1 000 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 200 OK\r\nX Odd: a\r\n", "HTTP/1.1 200 OK\r\nX\x01: a\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"HTTP/1.1 101 OK\r\n\r\nHTTP/1.1 200 OK\r\n",
+}
+
 // faultyHandler returns a handler with one of eight faults.
 func faultyHandler(r *simop.Replica, kind int) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
@@ -506,7 +520,11 @@
 		case 3: // The request ran, but the response is lost.
 			r.ServeDefault(&discardWriter{header: make(http.Header)}, req)
 			panic(http.ErrAbortHandler)
-		case 4: // The response belongs to another request.
+		case 4: // The response belongs to another request, or is none.
+			if id := req.Header.Get("X-Attempt-Id"); len(id)%2 == 0 {
+				answerRaw(oddHeads[int(id[len(id)-1])%len(oddHeads)]+"X-Attempt-Id: ID\r\nX-Response-Seal: "+r.ID+".ID\r\nContent-Length: 5\r\n\r\nother")(w, req)
+				return
+			}
 			w.Header().Set("X-Attempt-Id", "other")
 			w.Header().Set("X-Response-Seal", r.ID+".other")
 			_, _ = io.WriteString(w, "other") // Fails only if the gate has closed the connection.
@@ -595,8 +613,12 @@
 			body, result.crash = crashBody, true
 		}
 		before := c.newestServed(gate, starts)
+		isLong := seq%longEvery == 0 && body != crashBody
+		if isLong {
+			body = strings.Repeat("x", longBody)
+		}
 		var content io.Reader = strings.NewReader(body)
-		if seq%slowEvery == n%slowEvery {
+		if !isLong && seq%slowEvery == n%slowEvery {
 			content = &slowBody{Reader: content, pause: maxSlowBody / time.Duration(len(body)) * time.Duration(seq%7) / 6}
 		}
 		req, err := http.NewRequest(http.MethodPost, "http://"+c.settings[gate].Listen.String()+path, content)
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -45,8 +45,12 @@
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(streamEvents, 15*time.Millisecond, 0)
 	if c.hasCrashes {
+		stage := simop.AfterHead
+		if c.crashAfter > 0 {
+			stage = simop.InsideBody
+		}
 		e.SetCrash(&simop.Crash{
-			Matches: simop.HasPart(crashPart), Stage: simop.AfterHead, OnArrival: c.recordCrashArrival,
+			Matches: simop.HasPart(crashPart), Stage: stage, After: c.crashAfter, OnArrival: c.recordCrashArrival,
 			OnCrash: func() { c.replaceEngine(slot, e, time.Second, true) },
 		})
 	}
