--- a/io/simop/crash.go
+++ b/io/simop/crash.go
@@ -84,14 +84,15 @@
 	if c.Stage != BeforeHead {
 		w.WriteHeader(http.StatusOK)
 	}
+	next := firstEvent(req)
 	if c.Stage == InsideBody {
-		_, _ = io.WriteString(w, "id: 1\ndata: "+r.ID+"\n\nid: 2") // Fails only if the caller has disconnected.
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\nid: %d", next, r.ID, next+1) // Fails only if the caller has disconnected.
 	}
 	if c.Stage != BeforeHead {
 		_ = http.NewResponseController(w).Flush() // Fails as above.
 	}
 	if c.After > 0 {
-		r.streamUntil(w, time.Now().Add(c.After))
+		r.streamUntil(w, next+1, time.Now().Add(c.After))
 	}
 	time.Sleep(crashDelay)
 	go func() {
@@ -104,9 +105,9 @@
 // eventPause is the time between two events of a stream under which the replica crashes late.
 const eventPause = 100 * time.Millisecond
 
-// streamUntil sends events until a time, the first of which ends the one that has begun.
-func (r *Replica) streamUntil(w http.ResponseWriter, end time.Time) {
-	for i := 2; time.Now().Before(end); i++ {
+// streamUntil sends events until a time, the first of which ends the one that has begun under the given id.
+func (r *Replica) streamUntil(w http.ResponseWriter, begun int, end time.Time) {
+	for i := begun; time.Now().Before(end); i++ {
 		_, _ = fmt.Fprintf(w, "\ndata: %s\n\nid: %d", r.ID, i+1) // Fails only if the caller has disconnected.
 		_ = http.NewResponseController(w).Flush()                // Fails as above.
 		time.Sleep(eventPause)
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -371,11 +371,19 @@
 	r.serveStream(w, req, events, pause, abortAfter)
 }
 
+// firstEvent returns the id of the first event of the response to a request, which may ask for the rest of a stream.
+func firstEvent(req *http.Request) int {
+	after, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 1
+	}
+	return after + 1
+}
+
 func (r *Replica) serveStream(w http.ResponseWriter, req *http.Request, events int, pause time.Duration, abortAfter int) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	control := http.NewResponseController(w)
-	for i := after + 1; i <= events; i++ {
+	for i := firstEvent(req); i <= events; i++ {
 		if abortAfter > 0 && i > abortAfter {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i) // Aborts in the middle of an event.
 			_ = control.Flush()
