--- a/core/blame/convict.go
+++ b/core/blame/convict.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		suspect := c.suspects[at.suspect]
-		own[suspect.Parts[len(suspect.Parts)-1]] = true
+		own[suspect.own()] = true
 		if e.first == nil {
 			e.first = c
 		}
@@ -119,8 +119,8 @@
 }
 
 // numSuspects returns how many suspects of a crash it may be due to as far as a part is concerned, from the first one on: none if
-// another block explains it or, if the part was answered before, a hold of parts that weren't, only those that were begun if one of them has a part that was not answered before, and no late ones if
-// another one shares such a part with others.
+// another block explains it or, if the part was answered before, a hold of parts that weren't; only those that were begun if one of
+// them has a part that was not answered before; no late ones if another one shares such a part with others.
 func (l *Ledger) numSuspects(s *scene, crash int, p Part) int {
 	_, wasAnswered := l.answers.last(p)
 	if s.isExplained(crash, p) || (wasAnswered && s.isDueToHeld(crash, p)) {
--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -132,9 +132,10 @@
 		var with, without moments
 		for i, c := range s.crashes {
 			switch {
-			case !h.covers(c.at) || len(s.explained[i]) > 0 || l.isDueToOthers(c, h):
-			case slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(h.parts, s.Parts) }):
+			case !h.covers(c.at) || len(s.explained[i]) > 0:
+			case c.has(h.parts):
 				with.add(c.at)
+			case l.isDueToOthers(c, h):
 			default:
 				without.add(c.at)
 			}
@@ -149,12 +150,10 @@
 // isDueToOthers reports whether a crash may be due to other parts than those of a hold, so that it says nothing of these: another
 // hold in force has the parts of a suspect, or a suspect that was begun has a part that was never answered.
 func (l *Ledger) isDueToOthers(c *crash, h *hold) bool {
-	return slices.ContainsFunc(c.suspects, func(s Suspect) bool {
-		if s.Begun && l.hasUnanswered(s.shared()) {
-			return true
-		}
-		return slices.ContainsFunc(l.holds, func(other *hold) bool { return other != h && other.isInForce() && isSubset(other.parts, s.Parts) })
-	})
+	if slices.ContainsFunc(c.suspects, func(s Suspect) bool { return s.Begun && l.hasUnanswered(s.shared()) }) {
+		return true
+	}
+	return slices.ContainsFunc(l.holds, func(other *hold) bool { return other != h && other.isInForce() && c.has(other.parts) })
 }
 
 // heldParts returns the parts to hold for the evidence against one of them: those that came with it each time, without the own
@@ -163,8 +162,7 @@
 	if len(e.common) < 2 {
 		return e.common
 	}
-	first := s.crashes[e.spots[0].crash].suspects[e.spots[0].suspect]
-	own := first.Parts[len(first.Parts)-1]
+	own := s.crashes[e.spots[0].crash].suspects[e.spots[0].suspect].own()
 	return slices.DeleteFunc(slices.Clone(e.common), func(p Part) bool { return p == own })
 }
 
@@ -298,7 +296,7 @@
 // hasCrashed reports whether an engine has crashed under the held parts since the last trial.
 func (l *Ledger) hasCrashed(h *hold) bool {
 	for _, c := range l.crashes {
-		if c.at.After(h.last) && slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(h.parts, s.Parts) }) {
+		if c.at.After(h.last) && c.has(h.parts) {
 			return true
 		}
 	}
--- a/core/blame/keep.go
+++ b/core/blame/keep.go
@@ -79,9 +79,9 @@
 	if len(s.Parts) == 0 {
 		return false
 	}
-	own := s.Parts[len(s.Parts)-1]
+	own := s.own()
 	i := slices.IndexFunc(c.suspects, func(o Suspect) bool {
-		return o.Begun == s.Begun && o.isLate() == s.isLate() && o.Parts[len(o.Parts)-1] == own
+		return o.Begun == s.Begun && o.isLate() == s.isLate() && o.own() == own
 	})
 	known := make(map[Part]bool)
 	if i >= 0 {
@@ -156,6 +156,11 @@
 	return compareFirst(l.hasUnanswered(a.shared()), l.hasUnanswered(b.shared()))
 }
 
+// own returns the part that only this request has.
+func (s Suspect) own() Part {
+	return s.Parts[len(s.Parts)-1]
+}
+
 // shared returns the parts that other requests may have, too.
 func (s Suspect) shared() []Part {
 	return s.Parts[:len(s.Parts)-1]
@@ -172,6 +177,11 @@
 	return 1
 }
 
+// has reports whether one request at the crash has all of the given parts.
+func (c *crash) has(parts []Part) bool {
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(parts, s.Parts) })
+}
+
 // size returns the number of parts that are kept of the crash.
 func (c *crash) size() int {
 	n := 0
@@ -200,7 +210,7 @@
 			continue
 		}
 		for i, s := range c.suspects {
-			own := s.Parts[len(s.Parts)-1]
+			own := s.own()
 			c.suspects[i].Parts = slices.DeleteFunc(s.Parts, func(p Part) bool {
 				at, ok := l.answers.last(p)
 				return ok && at.After(c.at) && p != own && !blocked[p]
--- a/core/blame/report.go
+++ b/core/blame/report.go
@@ -105,7 +105,7 @@
 	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Blocks)+len(r.Holds)+len(r.Trials)+len(r.Late) == 0
 }
 
-// add adds a crash, with its late suspects apart.
+// add adds a crash, with its late suspects apart. It has no entry without suspects, which older processes would take for news each time.
 func (r *Report) add(c Crash) {
 	known, late := Crash{Run: c.Run, Age: c.Age}, LateCrash{Run: c.Run, Age: c.Age}
 	for _, s := range c.Suspects {
@@ -115,7 +115,9 @@
 			known.Suspects = append(known.Suspects, s)
 		}
 	}
-	r.Crashes = append(r.Crashes, known)
+	if len(known.Suspects) > 0 {
+		r.Crashes = append(r.Crashes, known)
+	}
 	if len(late.Suspects) > 0 {
 		r.Late = append(r.Late, late)
 	}
--- a/core/blame/scene.go
+++ b/core/blame/scene.go
@@ -87,7 +87,7 @@
 func (l *Ledger) explaining(c *crash) []*block {
 	var list []*block
 	for _, b := range l.blocks {
-		if slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(b.parts, s.Parts) }) {
+		if c.has(b.parts) {
 			list = append(list, b)
 		}
 	}
@@ -98,7 +98,7 @@
 func (l *Ledger) holdsAt(c *crash) []*hold {
 	var list []*hold
 	for _, h := range l.holds {
-		if h.isInForce() && l.isNew(h.parts) && slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(h.parts, s.Parts) }) {
+		if h.isInForce() && l.isNew(h.parts) && c.has(h.parts) {
 			list = append(list, h)
 		}
 	}
--- a/core/blame/several_test.go
+++ b/core/blame/several_test.go
@@ -178,6 +178,24 @@
 	})
 }
 
+// TestLateCrashIsNewOnce guards against alerts without end about a crash that has late suspects only.
+func TestLateCrashIsNewOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, peer := blame.New(), blame.New()
+		l.Crashed(leave.Run{Key: 7, Started: 8}, time.Now(), []blame.Suspect{{Parts: []blame.Part{1, 3}, After: 2 * time.Second}})
+		r := l.Report()
+		if len(r.Crashes) > 0 || len(r.Late) != 1 {
+			t.Errorf("reported: %v, late %v", r.Crashes, r.Late)
+		}
+		if _, changed := peer.Merge(r); !changed {
+			t.Error("the crash is no news")
+		}
+		if _, changed := peer.Merge(l.Report()); changed {
+			t.Error("the crash is news again")
+		}
+	})
+}
+
 // TestLateReport guards against late suspects that other entries can't read, or that older ones stumble over.
 func TestLateReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
