blame: holds go by the answers of all entries, and by five late crashes of one session

Each of 16 entries had seen fewer than the 20 answers that a hold asks for, and all prompts there share their last part, so that late crashes counted as of one request. Answers are estimated for all entries now, like requests, and five late crashes suffice whoever sent them (TestHoldOfManyEntries and TestComesAgain failed before).

--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -17,7 +17,7 @@
 	// minInHold is the number of trials of a held part that must have crashed engines to make up for crashes at one moment, which
 	// count once, and for an answer before them.
 	minInHold = 2
-	// minOtherAnswers is the number of answers of this entry that show that engines answer other prompts than those with a part
+	// minOtherAnswers is the number of answers of all entries that show that engines answer other prompts than those with a part
 	// that was never answered. Fewer can be missing by chance.
 	minOtherAnswers = 20
 	// maxHeldShare is the largest share of the requests that is held for a part that was answered before, or while few answers
@@ -170,7 +170,13 @@
 // begun to be held for that.
 func (l *Ledger) isNewBegun(e *evidence) bool {
 	_, wasAnswered := l.answers.last(e.part)
-	return !wasAnswered && e.begunRuns >= minHoldBegun && l.traffic.answered >= minOtherAnswers
+	return !wasAnswered && e.begunRuns >= minHoldBegun && l.haveOthersAnswers()
+}
+
+// haveOthersAnswers reports whether engines have answered enough prompts, estimated from those of this entry. Entries tell each other
+// of answers to suspect parts.
+func (l *Ledger) haveOthersAnswers() bool {
+	return l.entries*l.traffic.answered >= minOtherAnswers
 }
 
 // mayHold reports whether the evidence suffices to hold a part.
@@ -178,14 +184,18 @@
 	if l.isNewBegun(e) {
 		return true
 	}
-	if e.runs < minHold || (e.isLate && e.requests < minHold) {
+	if e.runs < minHold {
+		return false
+	}
+	// A sound request that broke off late may have come again. A session's requests have the same last part.
+	if e.isLate && e.requests < minHold && e.runs < minOther {
 		return false
 	}
 	_, wasAnswered := l.answers.last(e.part)
 	if wasAnswered && e.any.n < minHold {
 		return false
 	}
-	if !wasAnswered && l.traffic.answered >= minOtherAnswers {
+	if !wasAnswered && l.haveOthersAnswers() {
 		return true
 	}
 	sent := max(len(e.spots), l.entries*(l.traffic.sent-e.first.before.sent))
