--- a/io/gate/model.go
+++ b/io/gate/model.go
@@ -201,7 +201,7 @@
 		if !u.isUsable() || x.tried[u] || x.isFull(u) || (u.isLeaving() && !u.isLastResort(drainTime)) {
 			continue
 		}
-		if x.trial != nil && u.info.Load().Role == member.Prefill {
+		if (x.trial != nil || x.isPartTrial) && u.info.Load().Role == member.Prefill {
 			continue // A trial is made at one engine.
 		}
 		if !includeUnavailable && (u.isLeaving() || u.isPaused() || peers.changingRole[u.key] || x.gate.crashes.TrialAt(u.run())) {
