blame: late suspects are no urgent news; parts at two crashes are judged only if they may be held

Cause: all entries sent alerts at once for each late suspect that one of them added to a crash, and judged each time; and every part at two crashes was judged.

--- a/core/blame/change.go
+++ b/core/blame/change.go
@@ -60,7 +60,11 @@
 	}
 	most := 0
 	for _, p := range parts {
-		most = max(most, l.suspected[p])
+		if crashes := l.suspected[p]; crashes > most {
+			if at, ok := l.answers.last(p); !ok || !at.After(l.decided) {
+				most = crashes
+			}
+		}
 	}
 	return most
 }
--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -437,7 +437,7 @@
 
 // decide blocks what the evidence suffices for, holds what is suspect, and returns the new blocks.
 func (l *Ledger) decide() []Block {
-	l.decided = time.Now()
+	l.decided, l.hasLateNews = time.Now(), false
 	s := l.scene()
 	list := l.judge(s)
 	l.suspected = make(map[Part]int)
@@ -461,12 +461,12 @@
 	return added
 }
 
-// Review returns the blocks that follow from answers to other prompts while parts are held. It should be called a few times a second.
+// Review returns the blocks that follow from answers to other prompts while parts are held, and from late suspects. It should be called a few times a second.
 func (l *Ledger) Review() []Block {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire()
-	if len(l.holds) == 0 || time.Since(l.decided) < reviewPause {
+	if (len(l.holds) == 0 && !l.hasLateNews) || time.Since(l.decided) < reviewPause {
 		return nil
 	}
 	return l.decide()
--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -56,19 +56,20 @@
 
 // Ledger holds the evidence against parts of prompts and the blocks that follow from it. It is safe for concurrent use.
 type Ledger struct {
-	mu        sync.Mutex
-	crashes   map[leave.Run]*crash
-	answers   *answerLog
-	blocks    []*block // The oldest first.
-	entries   int
-	traffic   traffic
-	sent      map[Part]int // Requests with each suspect part that this entry has sent since it became suspect.
-	turn      int          // Rises with each report.
-	holds     []*hold      // The oldest first.
-	trials    map[uint64]*trial
-	decided   time.Time    // When the evidence was judged last.
-	changes   []Change     // Not taken yet, the oldest first.
-	suspected map[Part]int // Crashes since their last answers of the parts that were at minSuspected or more, as judged last.
+	mu          sync.Mutex
+	crashes     map[leave.Run]*crash
+	answers     *answerLog
+	blocks      []*block // The oldest first.
+	entries     int
+	traffic     traffic
+	sent        map[Part]int // Requests with each suspect part that this entry has sent since it became suspect.
+	turn        int          // Rises with each report.
+	holds       []*hold      // The oldest first.
+	trials      map[uint64]*trial
+	decided     time.Time    // When the evidence was judged last.
+	changes     []Change     // Not taken yet, the oldest first.
+	hasLateNews bool         // Late suspects were added since the evidence was judged.
+	suspected   map[Part]int // Crashes since their last answers of the parts that were at minSuspected or more, as judged last.
 }
 
 // traffic counts what this entry has sent to engines and got from them.
@@ -227,7 +228,7 @@
 	}
 	for _, c := range r.Late {
 		if l.addCrash(c.crash()) {
-			changed = true
+			l.hasLateNews = true // Review judges it; it spreads with the regular reports.
 		}
 	}
 	for _, t := range r.Trials {
--- a/core/blame/scene.go
+++ b/core/blame/scene.go
@@ -27,23 +27,20 @@
 func (l *Ledger) scene() *scene {
 	s := &scene{spots: make(map[Part][]spot)}
 	s.crashes = slices.SortedFunc(maps.Values(l.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
-	type count struct{ n, last int }
 	counts := make(map[Part]count)
 	for i, c := range s.crashes {
 		s.explained = append(s.explained, l.explaining(c))
 		s.held = append(s.held, l.holdsAt(c))
 		for _, suspect := range c.suspects {
 			for _, p := range suspect.Parts {
-				if known := counts[p]; known.n == 0 || known.last != i {
-					counts[p] = count{n: known.n + 1, last: i}
-				}
+				counts[p] = counts[p].add(i, suspect.Begun)
 			}
 		}
 	}
 	for i, c := range s.crashes {
 		for j, suspect := range c.suspects {
 			for _, p := range suspect.Parts {
-				if counts[p].n < minSuspected {
+				if !l.mayJudge(p, counts[p]) {
 					continue
 				}
 				at := spot{crash: i, suspect: j}
@@ -67,6 +64,36 @@
 	return s
 }
 
+// count is the number of crashes that a part was at, and of those at which a request with it had been begun.
+type count struct {
+	n, last          int // The index of the last one follows each number.
+	begun, lastBegun int
+}
+
+// add counts a suspect of the crash with an index; suspects that were begun come first.
+func (c count) add(crash int, isBegun bool) count {
+	if c.n == 0 || c.last != crash {
+		c.n, c.last = c.n+1, crash
+	}
+	if isBegun && (c.begun == 0 || c.lastBegun != crash) {
+		c.begun, c.lastBegun = c.begun+1, crash
+	}
+	return c
+}
+
+// mayJudge reports whether a part was at so many crashes that it may be held. Most parts of many crashes were not, and evidence
+// against each of them would take an entry's processor.
+func (l *Ledger) mayJudge(p Part, c count) bool {
+	if c.n >= minHold {
+		return true
+	}
+	if c.begun < minHoldBegun {
+		return false
+	}
+	_, wasAnswered := l.answers.last(p)
+	return !wasAnswered
+}
+
 // signature returns a hash that is the same for parts that were at the same suspects and were answered last at the same time.
 func (l *Ledger) signature(s *scene, p Part) uint64 {
 	d := xxhash.New()
--- a/io/fleet/crash_test.go
+++ b/io/fleet/crash_test.go
@@ -32,6 +32,7 @@
 	names := make([]string, engines)
 	for i := range names {
 		names[i] = fmt.Sprintf("engine-clerks-%d", i+1)
+		c.eventually(startTimeout, names[i]+" listens", func() bool { return c.isListening(names[i]) })
 		c.setFault(names[i], simflt.Fault{Name: simflt.Exit, On: true})
 	}
 	chat := func(n int, messages ...string) int {
