blame: late suspects keep places of their own; what counts as evidence is decided in one place

Found by a last reading. - A crash kept 16 suspects, late ones last, so that at a busy engine a part whose prompts crash it late was never among them. Eight late ones are kept beside the others now.

--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -203,8 +203,8 @@
 }
 
 // addHold holds a set of parts unless it, or a part of it, is held already or was lately. A set of fewer parts replaces one of
-// more, whose traffic and trials remain known. why tells the cause and the crashes for the log.
-func (l *Ledger) addHold(parts []Part, began time.Time, why Change) bool {
+// more, whose traffic and trials remain known. change has the cause and the crashes for the log.
+func (l *Ledger) addHold(parts []Part, began time.Time, change Change) bool {
 	if len(parts) == 0 || len(parts) > maxBlockParts || time.Since(began) >= holdTTL || l.isAnswered(parts, began) {
 		return false
 	}
@@ -234,8 +234,8 @@
 	}
 	l.holds = append(l.holds, added)
 	if added.isInForce() {
-		why.Parts, why.IsHeld, why.Trials = added.parts, true, added.trials
-		l.note(why)
+		change.Parts, change.IsHeld, change.Trials = added.parts, true, added.trials
+		l.note(change)
 	}
 	return true
 }
@@ -461,7 +461,8 @@
 	return added
 }
 
-// Review returns the blocks that follow from answers to other prompts while parts are held, and from late suspects. It should be called a few times a second.
+// Review returns the blocks that follow from answers to other prompts while parts are held, and from late suspects. It should be called
+// a few times a second.
 func (l *Ledger) Review() []Block {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/blame/keep.go
+++ b/core/blame/keep.go
@@ -29,14 +29,14 @@
 		l.crashes[c.Run] = known
 	}
 	changed := len(known.suspects) == 0
-	share := (maxCrashParts - known.size()) / max(1, min(len(c.Suspects), maxSuspects))
+	share := (maxCrashParts - known.size()) / max(1, min(len(c.Suspects), maxSuspects+maxLateSuspects))
 	for _, s := range c.Suspects {
 		if l.addSuspect(known, s, share) {
 			changed = true
 		}
 	}
 	slices.SortStableFunc(known.suspects, l.compareSuspects)
-	known.suspects = known.suspects[:min(len(known.suspects), maxSuspects)]
+	known.suspects = known.first(maxSuspects, maxLateSuspects)
 	isFull := false
 	for l.size() > maxKeptParts && len(l.crashes) > 1 {
 		l.dropOldestCrash()
@@ -147,8 +147,8 @@
 	return append(list, parts[len(parts)-1])
 }
 
-// compareSuspects orders suspects that were begun before others and late ones last, and among each those first that have a part besides their own
-// that no engine is known to have answered.
+// compareSuspects orders suspects that were begun before others and late ones last, and among each those first that have a part besides
+// their own that no engine is known to have answered.
 func (l *Ledger) compareSuspects(a, b Suspect) int {
 	if c := cmp.Or(compareFirst(a.Begun, b.Begun), compareFirst(!a.isLate(), !b.isLate())); c != 0 {
 		return c
@@ -182,6 +182,13 @@
 	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isSubset(parts, s.Parts) })
 }
 
+// first returns the first of the late suspects and of the others, as many as the limits allow.
+func (c *crash) first(limit, lateLimit int) []Suspect {
+	soon := c.numSoon()
+	late := c.suspects[soon:]
+	return slices.Concat(c.suspects[:min(soon, limit)], late[:min(len(late), lateLimit)])
+}
+
 // size returns the number of parts that are kept of the crash.
 func (c *crash) size() int {
 	n := 0
--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -35,11 +35,13 @@
 	reportTTL = 10 * time.Second
 
 	// The limits of an entry's state, which then has about 3 MB besides the answers.
-	maxCrashes    = 64
-	maxPerMoment  = 16 // Crashes at one moment; a loss of many engines must not displace the others.
-	maxBlocks     = 64
-	maxSuspects   = 16 // Of a crash.
-	maxBlockParts = 16 // Of a block; more parts that always came together would hardly tell more prompts apart.
+	maxCrashes   = 64
+	maxPerMoment = 16 // Crashes at one moment; a loss of many engines must not displace the others.
+	maxBlocks    = 64
+	maxSuspects  = 16 // Of a crash.
+	// maxLateSuspects limits the late ones beside them, so that a busy engine's others don't displace all of these.
+	maxLateSuspects = 8
+	maxBlockParts   = 16 // Of a block; more parts that always came together would hardly tell more prompts apart.
 	// maxCrashParts limits the parts of all suspects of a crash. One prompt fits: a header of 16,384 bytes has 5,461 parts at most.
 	maxCrashParts = 6144
 	// maxKeptParts limits the parts of all crashes; beyond it the oldest crash is dropped.
@@ -47,9 +49,9 @@
 	// minTrimmed is the number of parts that a suspect keeps at least.
 	minTrimmed = 16
 	// The limits of a report, which then has less than 32 kB and fits into a datagram.
-	maxReported       = 16 // Crashes.
-	maxReportSuspects = 4  // Of a crash, and as many late ones.
-	maxReportStates   = 2
+	maxReported       = 16   // Crashes.
+	maxReportSuspects = 4    // Of a crash, and as many late ones.
+	maxReportStates   = 2    // Late suspects, and all others, have maxReportSuspects each.
 	maxReportParts    = 1024 // Of all suspects. The parts beyond it are in the next reports.
 	maxReportAnswers  = 200
 )
--- a/core/blame/several_test.go
+++ b/core/blame/several_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,6 +172,27 @@
 	})
 }
 
+// TestLateAtBusyEngines guards against a part that is never found since each crash has many requests in other states.
+func TestLateAtBusyEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		for n := range 3 {
+			time.Sleep(time.Second)
+			var suspects []blame.Suspect
+			for i := range 30 {
+				suspects = append(suspects, blame.Suspect{Parts: []blame.Part{system, 1_000_000 + blame.Part(i), blame.Part(100*n + i)}})
+				suspects = append(suspects, blame.Suspect{Parts: []blame.Part{system, 1_000_050 + blame.Part(i), blame.Part(100*n + 50 + i)}, After: 3 * time.Second})
+			}
+			l.Crashed(leave.Run{Key: uint32(n), Started: 1}, time.Now(), append(suspects, blame.Suspect{Parts: []blame.Part{system, bad, blame.Part(9000 + n)}, After: 2 * time.Second}))
+		}
+		review(l)
+		if !l.Held([]blame.Part{system, bad, 9009}) {
+			t.Error("not held after three crashes")
+		}
+	})
+}
+
 // TestLongAnswerEndsHold guards against sound parts that stay held while an answer goes on for longer than any crash took.
 func TestLongAnswerEndsHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -229,6 +251,101 @@
 	})
 }
 
+// TestOrdinaryLateCrashes guards against sound parts that are blocked since long answers break off in crashes of other causes.
+func TestOrdinaryLateCrashes(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			l := blame.New()
+			subjects := 20 + random.IntN(300)
+			prompt := func(n int) []blame.Part {
+				return []blame.Part{system, other + blame.Part(random.IntN(subjects)), blame.Part(1_000_000 + n)}
+			}
+			for n := range 100 {
+				time.Sleep(time.Duration(200+random.IntN(800)) * time.Millisecond)
+				for i := range 3 + random.IntN(8) {
+					parts := prompt(1000*n + i)
+					l.Sent(parts)
+					l.Answered(parts)
+				}
+				var suspects []blame.Suspect
+				for i := range 1 + random.IntN(14) {
+					parts := prompt(1000*n + 500 + i)
+					l.Sent(parts)
+					suspects = append(suspects, blame.Suspect{Parts: parts, After: time.Duration(random.IntN(2)*(1+random.IntN(6))) * time.Second})
+				}
+				l.Crashed(leave.Run{Key: uint32(n), Started: 1}, time.Now(), suspects)
+				l.Review()
+			}
+			if blocks := l.Blocks(); len(blocks) > 0 {
+				t.Errorf("seed %d: blocks %v without a part at fault, %d subjects", seed, blocks, subjects)
+			}
+		})
+	}
+}
+
+// TestFullReport guards against reports that don't fit into a datagram beside the rest of an alert.
+func TestFullReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		next := blame.Part(1 << 40)
+		parts := func(n int) []blame.Part {
+			list := make([]blame.Part, n)
+			for i := range list {
+				next++
+				list[i] = next
+			}
+			return list
+		}
+		blocks := &blame.Report{}
+		for range 64 {
+			blocks.Blocks = append(blocks.Blocks, blame.Block{Parts: parts(16)})
+		}
+		for range 8 {
+			blocks.Holds = append(blocks.Holds, blame.Block{Parts: parts(16)})
+		}
+		for id := range uint64(32) {
+			blocks.Trials = append(blocks.Trials, blame.Trial{ID: 1<<60 + id, Parts: parts(16)})
+		}
+		l.Merge(blocks)
+		for n := range 16 {
+			var suspects []blame.Suspect
+			for i := range 32 {
+				suspects = append(suspects, blame.Suspect{Parts: parts(300), After: time.Duration(i%2) * time.Minute})
+			}
+			l.Crashed(leave.Run{Key: 1<<30 + uint32(n), Started: 1 << 50}, time.Now(), suspects)
+			time.Sleep(300 * time.Millisecond)
+		}
+		data, err := cbor.Marshal(l.Report())
+		if err != nil || len(data) > 32<<10 {
+			t.Errorf("report of %d bytes, %v; want 32 kB at most", len(data), err)
+		}
+		t.Logf("%d bytes", len(data))
+	})
+}
+
+// TestWeigh guards against evidence that a trial of a request hides from its own parts, or puts on the parts of others.
+func TestWeigh(t *testing.T) {
+	for _, test := range []struct {
+		isTried, hadTrial bool
+		want              blame.Reason
+		counts            bool
+	}{
+		{false, false, blame.NotAnswered, true},
+		{true, false, blame.Tried, true},
+		{true, true, blame.Tried, true},
+		{false, true, blame.OtherTried, false},
+	} {
+		if why, counts := blame.Weigh(blame.Suspect{Parts: []blame.Part{1}}, test.isTried, test.hadTrial); why != test.want || counts != test.counts {
+			t.Errorf("tried %v, with a trial %v: %v, %q", test.isTried, test.hadTrial, counts, why)
+		}
+	}
+	if why, counts := blame.Weigh(blame.Suspect{Parts: []blame.Part{1}, After: time.Second}, false, false); why != blame.LongSince || !counts {
+		t.Errorf("late: %v, %q", counts, why)
+	}
+}
+
 // TestLateReport guards against late suspects that other entries can't read, or that older ones stumble over.
 func TestLateReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/blame/tell.go
+++ b/core/blame/tell.go
@@ -50,7 +50,7 @@
 	for _, run := range runs {
 		c := l.crashes[run]
 		reported := Crash{Run: run, Age: ageOf(c.at)}
-		for _, s := range c.reported() {
+		for _, s := range c.first(maxReportSuspects, maxReportSuspects) {
 			reported.Suspects = append(reported.Suspects, Suspect{Begun: s.Begun, Parts: l.unclearedParts(c, s), After: s.After})
 			total += len(reported.Suspects[len(reported.Suspects)-1].Parts)
 		}
@@ -71,13 +71,6 @@
 	return list
 }
 
-// reported returns the suspects that other entries are told of: the first ones, and of the late ones also the first.
-func (c *crash) reported() []Suspect {
-	soon := c.numSoon()
-	late := c.suspects[soon:]
-	return slices.Concat(c.suspects[:min(soon, maxReportSuspects)], late[:min(len(late), maxReportSuspects)])
-}
-
 // unclearedParts returns a copy of the parts of a suspect that were not answered after the crash, and its own part.
 func (l *Ledger) unclearedParts(c *crash, s Suspect) []Part {
 	list := make([]Part, 0, len(s.Parts))
--- a/core/head/answers.go
+++ b/core/head/answers.go
@@ -1,14 +1,18 @@
 package head
 
-import "net/http"
+import (
+	"errors"
+	"net/http"
+)
 
 const (
 	// maxAnswerHead bounds one head of an answer in bytes. Upstreams state a few dozen fields; one in trouble may send without end.
 	maxAnswerHead = 64 << 10
 	// maxFraming bounds the value of a field that states the framing, and the names that are compared.
 	maxFraming = 64
-	minStatus  = 100
-	maxStatus  = 599
+	// The statuses that have a meaning (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
 )
 
 // readStep handles the next byte of a head, and returns the step for the one after it or nil with an error.
@@ -29,18 +33,18 @@
 	status   int
 	isHTTP10 bool
 	framing  framing
-	name     text64
-	value    text64
+	name     prefix // Of the present field.
+	value    prefix
 }
 
-// text64 holds the first bytes of a name or a value.
-type text64 struct {
+// prefix holds the first bytes of a name or a value.
+type prefix struct {
 	bytes [maxFraming]byte
 	size  int
 }
 
 // add appends a byte if there is room for it.
-func (t *text64) add(b byte) {
+func (t *prefix) add(b byte) {
 	if t.size < len(t.bytes) {
 		t.bytes[t.size] = b
 	}
@@ -48,12 +52,12 @@
 }
 
 // isCut reports whether bytes are missing.
-func (t *text64) isCut() bool {
+func (t *prefix) isCut() bool {
 	return t.size > len(t.bytes)
 }
 
 // text returns the bytes.
-func (t *text64) text() []byte {
+func (t *prefix) text() []byte {
 	return t.bytes[:min(t.size, len(t.bytes))]
 }
 
@@ -108,6 +112,7 @@
 			}
 		}
 	}
+	a.err = asAnswer(a.err)
 	return n, a.err
 }
 
@@ -129,6 +134,14 @@
 	return &Error{Status: http.StatusBadGateway, Reason: "answer: " + reason}
 }
 
+// asAnswer returns the error of a malformed answer in place of one of what requests have, too: framing fields and chunks.
+func asAnswer(err error) error {
+	if shared := new(Error); errors.As(err, &shared) && shared.Status != http.StatusBadGateway {
+		return badAnswer(shared.Reason)
+	}
+	return err
+}
+
 const version = "HTTP/1."
 
 func versionByte(a *Answers, b byte) (readStep, error) {
--- a/core/head/answers_test.go
+++ b/core/head/answers_test.go
@@ -87,7 +87,7 @@
 		for _, size := range []int{1, 7, 4096, len(data)} {
 			n, err := scanAnswers(data, size, http.MethodGet)
 			refused := new(head.Error)
-			if got, want := errors.As(err, &refused), name[0] == '!'; got != want || (!want && n != len(data)) {
+			if got, want := errors.As(err, &refused) && refused.Status == http.StatusBadGateway, name[0] == '!'; got != want || (!want && n != len(data)) {
 				t.Errorf("%s in parts of %d: %d of %d bytes accepted, %v", name, size, n, len(data), err)
 			}
 		}
--- a/core/head/error.go
+++ b/core/head/error.go
@@ -5,9 +5,9 @@
 	"strconv"
 )
 
-// Error reports a request that must be refused.
+// Error reports a request that must be refused, or an answer that must not be used.
 type Error struct {
-	Status int // The status of the response.
+	Status int // The status of the response to a request; 502 for an answer.
 	Reason string
 }
 
--- a/core/head/framing.go
+++ b/core/head/framing.go
@@ -13,6 +13,7 @@
 	hasUnknown bool // A transfer coding other than chunked.
 }
 
+// addLength records the value of a Content-Length field.
 func (f *framing) addLength(value []byte) error {
 	if len(value) == 0 {
 		return bad("empty Content-Length")
@@ -36,6 +37,7 @@
 	return nil
 }
 
+// addCodings records the value of a Transfer-Encoding field.
 func (f *framing) addCodings(value []byte) error {
 	for coding := range bytes.SplitSeq(value, []byte{','}) {
 		coding = trim(coding)
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -95,21 +95,6 @@
 	return list
 }
 
-// prompts returns the prompts that a crash may be due to. One under which a request or parts of prompts were tried may be due to that
-// prompt; whatever else it may be due to, it says nothing of the others.
-func (b *breakage) prompts(hadTrial bool) []blame.Suspect {
-	var list []blame.Suspect
-	for _, s := range b.suspects {
-		if len(s.prompt.Parts) > 0 && (!hadTrial || s.isTried()) {
-			list = append(list, s.prompt)
-		}
-	}
-	if hadTrial {
-		return list
-	}
-	return append(list, b.abandoned...)
-}
-
 // isTried reports whether the request was sent to find out whether it, or parts of it, crash upstreams.
 func (s *suspect) isTried() bool {
 	return s.isTrial || s.tried != nil
@@ -189,8 +174,7 @@
 func (g *Gate) recordCrash(b *breakage) {
 	g.meter.Count("upstream crashes")
 	hadTrial := g.crashes.TrialAt(runOf(b.run)) || slices.ContainsFunc(b.suspects, func(s suspect) bool { return s.tried != nil })
-	prompts := b.prompts(hadTrial)
-	g.logEvidence(b, hadTrial)
+	prompts := g.weighPrompts(b, hadTrial)
 	var blocks []blame.Block
 	if len(prompts) > 0 {
 		g.meter.Count("engine crashes")
@@ -271,23 +255,25 @@
 	return list
 }
 
-// logEvidence logs for each prompt that broke off in a crash whether that is evidence against its parts.
-func (g *Gate) logEvidence(b *breakage, hadTrial bool) {
-	for _, s := range b.suspects[:min(len(b.suspects), maxLoggedSuspects)] {
-		if s.names == "" {
+// weighPrompts returns the prompts against whose parts a crash is evidence, and logs why each one is among them or isn't.
+func (g *Gate) weighPrompts(b *breakage, hadTrial bool) []blame.Suspect {
+	var list []blame.Suspect
+	for i, s := range b.suspects {
+		if len(s.prompt.Parts) == 0 {
 			continue
 		}
-		counts, why := true, "not answered"
-		switch {
-		case s.isTried():
-			why = "trial"
-		case hadTrial:
-			counts, why = false, "a request was tried there"
-		case s.prompt.After > 0:
-			why = "long since its first event"
+		why, counts := blame.Weigh(s.prompt, s.isTried(), hadTrial)
+		if counts {
+			list = append(list, s.prompt)
+		}
+		if i < maxLoggedSuspects {
+			g.log.Info("crash of parts", "id", s.id, "upstream", b.run.ID, "parts", s.names, "begun", s.prompt.Begun, "events", s.events, "since", s.age, "counts", counts, "why", string(why))
 		}
-		g.log.Info("crash of parts", "id", s.id, "upstream", b.run.ID, "parts", s.names, "begun", s.prompt.Begun, "events", s.events, "since", s.age, "counts", counts, "why", why)
 	}
+	if hadTrial {
+		return list
+	}
+	return append(list, b.abandoned...)
 }
 
 // logHolds logs requests that are held from now on.
