--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -23,32 +23,72 @@
 	crashPart    = "bad0"
 )
 
-// crashFleet is a service's engines that crash when they begin to answer a prompt with crashPart, and start again at the same
-// address as another replica.
+// crashTally is what one part of prompts did to engines.
+type crashTally struct {
+	mu       sync.Mutex
+	crashes  []time.Time
+	arrivals []time.Time // Prefills included.
+}
+
+// arrive records a prompt with the part.
+func (t *crashTally) arrive(string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrivals = append(t.arrivals, time.Now())
+}
+
+// late returns the number of crashes, and of prompts that reached engines later than contactTime after the fifth one.
+func (t *crashTally) late() (crashes, late int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, at := range t.arrivals {
+		if len(t.crashes) >= allowedCrash && at.After(t.crashes[allowedCrash-1].Add(contactTime)) {
+			late++
+		}
+	}
+	return len(t.crashes), late
+}
+
+// crashFleet is a service's engines that crash under prompts with some parts, and start again at the same address as other replicas.
 type crashFleet struct {
 	t          *testing.T
 	store      *simop.Store
-	firstEvent time.Duration // Time until the first event after which the engines crash; 0 if they crash without an event.
+	stage      simop.CrashStage
+	firstEvent time.Duration          // Time until the first event of prompts with the parts; 0 for none.
+	after      time.Duration          // From the first event to the crash; see simop.Crash.
+	back       time.Duration          // Time that a crashed engine is down.
+	tallies    map[string]*crashTally // By part.
 
-	mu       sync.Mutex
-	engines  []*simop.Replica // By slot.
-	started  int              // Number of engines that were ever started.
-	ended    map[*simop.Replica]bool
-	crashes  []time.Time
-	arrivals []time.Time // Of requests with crashPart, prefills included.
-	closed   bool
+	mu      sync.Mutex
+	engines []*simop.Replica // By slot.
+	started int              // Number of engines that were ever started.
+	ended   map[*simop.Replica]bool
+	closed  bool
 }
 
-// newCrashFleet starts two prefill engines and some decode engines.
+// newCrashFleet starts two prefill engines and some decode engines, which crash under crashPart once they have sent the head.
 func newCrashFleet(t *testing.T, store *simop.Store, decodeEngines int) *crashFleet {
-	return newLateCrashFleet(t, store, decodeEngines, 0)
+	f := &crashFleet{stage: simop.AfterHead, back: restartTime}
+	f.run(t, store, decodeEngines, crashPart)
+	return f
 }
 
 // newLateCrashFleet is newCrashFleet with engines that crash after the first event of a response, which takes some time.
 func newLateCrashFleet(t *testing.T, store *simop.Store, decodeEngines int, firstEvent time.Duration) *crashFleet {
-	f := &crashFleet{t: t, store: store, firstEvent: firstEvent, engines: make([]*simop.Replica, 2+decodeEngines), ended: make(map[*simop.Replica]bool)}
+	f := &crashFleet{stage: simop.InsideBody, firstEvent: firstEvent, back: restartTime}
+	f.run(t, store, decodeEngines, crashPart)
+	return f
+}
+
+// run starts two prefill engines and some decode engines that crash under prompts with one of the parts.
+func (f *crashFleet) run(t *testing.T, store *simop.Store, decodeEngines int, parts ...string) {
+	f.t, f.store, f.tallies = t, store, make(map[string]*crashTally)
+	f.engines, f.ended = make([]*simop.Replica, 2+decodeEngines), make(map[*simop.Replica]bool)
+	for _, part := range parts {
+		f.tallies[part] = &crashTally{}
+	}
 	for slot := range f.engines {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", freeAddrs(t, 1)[0].String()) // Where no other process takes the port while it is down.
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -62,7 +102,6 @@
 			e.Close()
 		}
 	})
-	return f
 }
 
 // start starts and registers a new engine in a slot.
@@ -81,46 +120,49 @@
 	e := simop.NewReplica(fmt.Sprintf("e-%d", f.started), "lm", stage, simop.WithListener(l))
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(6, 15*time.Millisecond, 0)
-	matches, crashStage := simop.HasPart(crashPart), simop.AfterHead
-	if f.firstEvent > 0 {
-		matches, crashStage = f.matchLate, simop.InsideBody
+	var crashes []*simop.Crash
+	for part, tally := range f.tallies {
+		crashes = append(crashes, &simop.Crash{
+			Matches: f.matches(part), Stage: f.stage, After: f.after,
+			OnArrival: tally.arrive, OnCrash: func() { f.crash(slot, e, tally) },
+		})
 	}
-	e.SetCrash(&simop.Crash{Matches: matches, Stage: crashStage, OnArrival: func(string) { f.recordArrival() }, OnCrash: func() { f.crash(slot, e) }})
+	e.SetCrash(crashes...)
 	f.engines[slot] = e
 	f.store.Put("servers/"+e.ID, e.Registration("ready"))
 }
 
-// matchLate matches prompts with crashPart, and takes the time until the first event of a response to them.
-func (f *crashFleet) matchLate(req *http.Request, body string) bool {
-	if !simop.HasPart(crashPart)(req, body) {
-		return false
-	}
-	if req.Header.Get("X-Stage") != "prefill" {
-		time.Sleep(f.firstEvent)
+// matches returns a function that matches prompts with a part, and takes the time until the first event of a response to them.
+func (f *crashFleet) matches(part string) func(*http.Request, string) bool {
+	return func(req *http.Request, body string) bool {
+		if !simop.HasPart(part)(req, body) {
+			return false
+		}
+		if req.Header.Get("X-Stage") != "prefill" {
+			time.Sleep(f.firstEvent)
+		}
+		return true
 	}
-	return true
 }
 
-// recordArrival records a request with crashPart.
-func (f *crashFleet) recordArrival() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.arrivals = append(f.arrivals, time.Now())
-}
-
-// crash ends the engine of a slot unless it has ended already, and starts another one later.
-func (f *crashFleet) crash(slot int, e *simop.Replica) {
+// crash ends the engine of a slot unless it has ended already, and starts another one later. The crash counts for a part; nil for
+// none.
+func (f *crashFleet) crash(slot int, e *simop.Replica, tally *crashTally) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.ended[e] || f.closed {
 		return
 	}
 	f.ended[e] = true
-	f.crashes = append(f.crashes, time.Now())
+	if tally != nil {
+		tally.mu.Lock()
+		tally.crashes = append(tally.crashes, time.Now())
+		tally.mu.Unlock()
+	}
 	addr := e.Addr()
 	go func() {
 		e.Crash()
-		time.Sleep(restartTime)
+		time.Sleep(f.back)
 		f.store.Remove("servers/" + e.ID)
 		l, err := net.Listen("tcp", addr.String())
 		if err != nil {
@@ -131,19 +173,19 @@
 	}()
 }
 
-// numCrashes returns the number of crashes.
+// numCrashes returns the number of crashes under crashPart.
 func (f *crashFleet) numCrashes() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.crashes)
+	crashes, _ := f.tallies[crashPart].late()
+	return crashes
 }
 
 // arrivalsAfter returns the number of requests with crashPart that arrived after a time.
 func (f *crashFleet) arrivalsAfter(at time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	tally := f.tallies[crashPart]
+	tally.mu.Lock()
+	defer tally.mu.Unlock()
 	n := 0
-	for _, arrival := range f.arrivals {
+	for _, arrival := range tally.arrivals {
 		if arrival.After(at) {
 			n++
 		}
@@ -332,7 +374,7 @@
 				fleet.mu.Lock()
 				e := fleet.engines[slot]
 				fleet.mu.Unlock()
-				fleet.crash(slot, e)
+				fleet.crash(slot, e, nil)
 			}
 		}
 		time.Sleep(300*time.Millisecond + rand.N(300*time.Millisecond))
--- a/io/gate/crashparts_test.go
+++ b/io/gate/crashparts_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,118 +15,10 @@
 )
 
 const (
-	crashEngines = 9                       // Of them two process prompts.
-	crashBack    = 3500 * time.Millisecond // Time that a crashed engine is down.
+	decodeEngines = 7                       // Beside the two that process prompts.
+	crashBack     = 3500 * time.Millisecond // Time that a crashed engine is down.
 )
 
-// crashTally is what one part of prompts did to engines.
-type crashTally struct {
-	mu       sync.Mutex
-	crashes  []time.Time
-	arrivals []time.Time // Prefills included.
-}
-
-// lateArrivals returns the number of crashes, and of prompts that reached engines later than contactTime after the fifth one.
-func (t *crashTally) lateArrivals() (crashes, late int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, at := range t.arrivals {
-		if len(t.crashes) >= allowedCrash && at.After(t.crashes[allowedCrash-1].Add(contactTime)) {
-			late++
-		}
-	}
-	return len(t.crashes), late
-}
-
-// partFleet is engines that crash under prompts with some parts, and start again at the same address as other replicas.
-type partFleet struct {
-	t       *testing.T
-	store   *simop.Store
-	stage   simop.CrashStage
-	after   time.Duration // From the first event to the crash.
-	tallies map[string]*crashTally
-
-	mu      sync.Mutex
-	engines map[int]*simop.Replica // By slot, without those that are down.
-	started int
-	closed  bool
-}
-
-// newPartFleet starts the engines.
-func newPartFleet(t *testing.T, store *simop.Store, stage simop.CrashStage, after time.Duration, parts ...string) *partFleet {
-	f := &partFleet{t: t, store: store, stage: stage, after: after, tallies: make(map[string]*crashTally), engines: make(map[int]*simop.Replica)}
-	for _, part := range parts {
-		f.tallies[part] = &crashTally{}
-	}
-	for slot := range crashEngines {
-		l, err := net.Listen("tcp", freeAddrs(t, 1)[0].String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.start(slot, l)
-	}
-	t.Cleanup(func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.closed = true
-		for _, e := range f.engines {
-			e.Close()
-		}
-	})
-	return f
-}
-
-// start starts and registers a new engine in a slot.
-func (f *partFleet) start(slot int, l net.Listener) {
-	stage := "decode"
-	if slot < 2 {
-		stage = "prefill"
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.closed {
-		_ = l.Close() // The test has ended.
-		return
-	}
-	f.started++
-	e := simop.NewReplica(fmt.Sprintf("e-%d", f.started), "lm", stage, simop.WithListener(l))
-	e.SetBorn(time.Now().UnixMilli())
-	e.SetStream(20, 30*time.Millisecond, 0)
-	var crashes []*simop.Crash
-	for part, tally := range f.tallies {
-		crashes = append(crashes, &simop.Crash{Matches: simop.HasPart(part), Stage: f.stage, After: f.after, OnArrival: func(string) {
-			tally.mu.Lock()
-			defer tally.mu.Unlock()
-			tally.arrivals = append(tally.arrivals, time.Now())
-		}, OnCrash: func() { f.crash(slot, e, tally) }})
-	}
-	e.SetCrash(crashes...)
-	f.engines[slot] = e
-	f.store.Put("servers/"+e.ID, e.Registration("ready"))
-}
-
-// crash records that an engine has crashed unless it had already, and starts another one later.
-func (f *partFleet) crash(slot int, e *simop.Replica, tally *crashTally) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.engines[slot] != e || f.closed {
-		return
-	}
-	delete(f.engines, slot)
-	tally.mu.Lock()
-	tally.crashes = append(tally.crashes, time.Now())
-	tally.mu.Unlock()
-	time.AfterFunc(crashBack, func() {
-		f.store.Remove("servers/" + e.ID)
-		l, err := net.Listen("tcp", e.Addr().String())
-		if err != nil {
-			f.t.Errorf("engine not started again: %v", err)
-			return
-		}
-		f.start(slot, l)
-	})
-}
-
 // startProcesses runs four gates of two zones as processes until the test ends.
 func startProcesses(t *testing.T, binary string, store *simop.Store) []*testGate {
 	t.Helper()
@@ -178,7 +69,8 @@
 			t.Parallel()
 			store := newStore(t)
 			store.Put("op/config", config(1, 3000))
-			fleet := newPartFleet(t, store, test.stage, test.after, test.parts...)
+			fleet := &crashFleet{stage: test.stage, after: test.after, back: crashBack}
+			fleet.run(t, store, decodeEngines, test.parts...)
 			gates := startProcesses(t, binary, store)
 			stop := make(chan struct{})
 			var wait sync.WaitGroup
@@ -206,7 +98,7 @@
 				t.Errorf("%d of %d sound prompts were served, want half at least", served.Load(), sound.Load())
 			}
 			for part, tally := range fleet.tallies {
-				crashes, late := tally.lateArrivals()
+				crashes, late := tally.late()
 				t.Logf("%s: %d crashes, %d prompts later than %v after the fifth", part, crashes, late, contactTime)
 				if late > allowedAfter {
 					t.Errorf("%s: %d prompts reached engines later than %v after the fifth crash, want %d at most", part, late, contactTime, allowedAfter)
