blame: one trial that is expected to decide, not one after the other

The kept logs of TestSeveralAndLateParts (three parts after 1.5 s, 9 crashes, 3 late, which is allowed): six trials of bad1 in 8 s, each expected to block it, none of which did, since a crash under a late part has more suspects than the expectation has. A trial after that one waits as others do; the hold is in force all the while. TestFewTrials failed before.

--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -42,8 +42,11 @@
 	// it crashes an engine, or wait for laterPause, which doubles each time up to maxPause, since at most three requests may reach
 	// engines from some seconds after the fifth crash on.
 	freeTrials = 2
-	laterPause = 20 * time.Second
-	maxPause   = 2 * time.Minute
+	// decisiveTrials is the number of those after them that don't wait if they are expected to suffice. A crash may have more suspects than
+	// expected.
+	decisiveTrials = 1
+	laterPause     = 20 * time.Second
+	maxPause       = 2 * time.Minute
 	// trialTTL is how long a trial is known and reported.
 	trialTTL = 10 * time.Second
 	// maxTrials limits the trials that are known. While no engine is up, many of them begin and don't run; those give way first.
@@ -298,7 +301,7 @@
 	if h.trials > 0 && time.Since(h.last) < secondPause && !l.hasCrashed(h) {
 		return 0, false // The last trial may still be in progress.
 	}
-	if wait := h.pause() - time.Since(h.since()); wait > 0 && (h.trials < freeTrials || !l.isDecisive(h)) {
+	if wait := h.pause() - time.Since(h.since()); wait > 0 && (h.trials < freeTrials || h.trials >= freeTrials+decisiveTrials || !l.isDecisive(h)) {
 		return 0, false
 	}
 	id := rand.Uint64()
--- a/core/blame/several_test.go
+++ b/core/blame/several_test.go
@@ -24,6 +24,15 @@
 	return &blame.Report{Late: []blame.LateCrash{{Run: leave.Run{Key: uint32(n), Started: 1}, Suspects: []blame.LateSuspect{{After: uint32(after.Milliseconds()), Parts: parts}}}}}
 }
 
+// crashLate has engines crash some time after the first events of prompts with a part, each time another prompt.
+func crashLate(l *blame.Ledger, from, crashes int, after time.Duration, part blame.Part) {
+	for n := range crashes {
+		l.Merge(lateCrash(from+n, after, system, part, blame.Part(10_000+from+n)))
+		time.Sleep(300 * time.Millisecond) // So that they count as several moments.
+	}
+	review(l)
+}
+
 // review waits for the next look at the evidence, which entries take a few times a second.
 func review(l *blame.Ledger) {
 	time.Sleep(300 * time.Millisecond)
@@ -58,15 +67,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := blame.New()
 		answerOthers(l, 100)
-		for n := range 3 {
-			l.Merge(lateCrash(n, 1500*time.Millisecond, system, bad, blame.Part(500+n)))
-		}
-		review(l)
+		crashLate(l, 0, 3, 1500*time.Millisecond, bad)
 		for n := range 12 {
 			time.Sleep(time.Second)
 			answerOthers(l, 100)
-			l.Merge(lateCrash(10+n, 1500*time.Millisecond, system, bad2, blame.Part(600+n)))
-			review(l)
+			crashLate(l, 10+n, 1, 1500*time.Millisecond, bad2)
 			if next := []blame.Part{system, bad, 700}; !l.Held(next) && !isBlocked(l, next...) {
 				t.Fatalf("not held after %d crashes under another part", n+1)
 			}
@@ -129,12 +134,10 @@
 		l.SetEntries(16)
 		answerOthers(l, 2)
 		prompt := []blame.Part{system, bad, 500}
-		for n := range 3 {
+		for range 3 {
 			l.Sent(prompt)
-			l.Merge(lateCrash(n, 1500*time.Millisecond, system, bad, blame.Part(500+n)))
-			time.Sleep(100 * time.Millisecond)
 		}
-		review(l)
+		crashLate(l, 0, 3, 1500*time.Millisecond, bad)
 		if !l.Held(prompt) {
 			t.Error("not held after three crashes and some 32 answers to others")
 		}
@@ -193,17 +196,49 @@
 	})
 }
 
+// TestFewTrials guards against one trial after the other of which each is expected to decide and doesn't, since each crash has more
+// suspects than expected.
+func TestFewTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 30)
+		crashLate(l, 0, 5, 1500*time.Millisecond, bad)
+		next := []blame.Part{system, bad, 700}
+		trials := 0
+		for n := range 100 { // 15 seconds.
+			time.Sleep(150 * time.Millisecond)
+			answerOthers(l, 5)
+			l.Review()
+			if isBlocked(l, next...) {
+				break
+			}
+			if _, ok := l.Begin(next); !ok {
+				continue
+			}
+			trials++
+			l.Sent(next)
+			time.Sleep(1600 * time.Millisecond)
+			r := lateCrash(100+n, 1500*time.Millisecond, next...)
+			for i := range 7 {
+				parts := []blame.Part{system, 1_000_000 + blame.Part(i), blame.Part(20_000 + 10*n + i)}
+				l.Sent(parts)
+				r.Late[0].Suspects = append(r.Late[0].Suspects, blame.LateSuspect{After: 1500, Parts: parts})
+			}
+			l.Merge(r)
+		}
+		if trials > 3 {
+			t.Errorf("%d trials in 15 seconds, want 3 at most", trials)
+		}
+	})
+}
+
 // TestLateCrashes guards against prompts that crash engines seconds after their first event: parts that are never suspect, and holds
 // that an answer ends which has not gone on for longer.
 func TestLateCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := blame.New()
 		answerOthers(l, 100)
-		for n := range 3 {
-			time.Sleep(time.Second)
-			l.Merge(lateCrash(n, 4*time.Second, system, bad, blame.Part(500+n)))
-		}
-		review(l)
+		crashLate(l, 0, 3, 4*time.Second, bad)
 		next := []blame.Part{system, bad, 600}
 		if !l.Held(next) {
 			t.Fatal("not held after three crashes")
@@ -214,9 +249,8 @@
 		for n := range 3 {
 			time.Sleep(2 * time.Second)
 			answerOthers(l, 100)
-			l.Merge(lateCrash(10+n, 4*time.Second, system, bad, blame.Part(600+n)))
+			crashLate(l, 10+n, 1, 4*time.Second, bad)
 		}
-		review(l)
 		if !isBlocked(l, next...) {
 			t.Error("not blocked after six crashes")
 		}
@@ -249,10 +283,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := blame.New()
 		answerOthers(l, 100)
-		for n := range 3 {
-			l.Merge(lateCrash(n, 1500*time.Millisecond, system, 300, blame.Part(500+n)))
-		}
-		review(l)
+		crashLate(l, 0, 3, 1500*time.Millisecond, 300)
 		sound := []blame.Part{system, 300, 600}
 		if !l.Held(sound) {
 			t.Fatal("not held")
