server: a server whose address is taken fails at its start; it hung

The trace it printed has TestLateInGrace in nbio's Engine.Stop, called by its Start when it couldn't listen: the pollers set shutdown to false as they begin, after Stop has set it, and Stop waits for them for ever. Not load and not chance: TestTakenAddress hung at its first start in three runs of three. The same for entries and agents of the own interface, which hung in place of ending with a ListenError, so that nothing restarted them.

Change: Start listens by itself first and gives nbio the listener. serveLinks of io/fleet, whose port another process had taken between the check and the start, logs that and takes another port (five at most).

Result: TestTakenAddress passes three of three (50 starts each); io/server, io/link and the four tests of io/fleet with stops, frames and entries pass.

--- a/io/fleet/whole_test.go
+++ b/io/fleet/whole_test.go
@@ -121,13 +121,22 @@
 // serveLinks accepts links for a simulated agent and returns its address.
 func serveLinks(t *testing.T, h link.Handler) netip.AddrPort {
 	t.Helper()
-	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), allocatePorts(t, 1))
+	var addr netip.AddrPort
 	var s *server.Server
-	s = server.New(addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = link.Accept(s.Engine(), w, r, "demo-link-secret-0123456789", h)
-	}))
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
+	// Another process of the machine may take a port between its check and the start.
+	for attempt := 1; ; attempt++ {
+		addr = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), allocatePorts(t, 1))
+		s = server.New(addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = link.Accept(s.Engine(), w, r, "demo-link-secret-0123456789", h)
+		}))
+		err := s.Start()
+		if err == nil {
+			break
+		}
+		t.Log(err)
+		if attempt == 5 {
+			t.Fatal("no free port")
+		}
 	}
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -40,6 +40,7 @@
 	maxBody       int
 	refuse        http.HandlerFunc // Serves requests that come when the server has stopped.
 	engine        *nbhttp.Engine
+	listener      net.Listener // Opened by Start, before the engine's.
 	stop          chan struct{}
 	streamStarted chan struct{} // Receives a value when a stream begins.
 
@@ -93,6 +94,7 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:       "tcp",
 		Addrs:         []string{addr.String()},
+		Listen:        func(string, string) (net.Listener, error) { return s.listener, nil },
 		Handler:       s.wrap(handler),
 		KeepaliveTime: s.keepAlive,
 		// Higher than maxBody, since nbio closes the connection above its limits, while ReadBody returns an error.
@@ -119,7 +121,13 @@
 
 // Start starts to listen and serve; its error is a *proc.ListenError.
 func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.addr.String()) // Not left to nbio, whose Start never returns if it can't listen.
+	if err != nil {
+		return &proc.ListenError{Addr: s.addr, Cause: err}
+	}
+	s.listener = listener
 	if err := s.engine.Start(); err != nil {
+		_ = listener.Close()
 		return &proc.ListenError{Addr: s.addr, Cause: err}
 	}
 	go s.watchClosed()
