gate: requests whose callers have left are suspect by the time since then, not since their first event

Cause: an engine may go on with a request after its caller has left or its time was over, and crash under it. Such a request was suspect up to a second after its first event, whenever the connection was closed: the last decision of this class by a threshold in real time. TestSeveralAndLateParts has a case for it: callers with 1.5 s of patience, a crash 2 s after the first event.

Change: they are suspect for a second after the closing (ten without an event, as before), in the state that their first event gives; 'crash of parts' lists them, too, with closed=true.

--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -23,6 +23,8 @@
 	// maxLinger is how long an engine may go on with a request without events whose connection this entry has closed. Engines
 	// stop at the next chunk of the prompt, if they notice at all; the longest prompts take a few seconds.
 	maxLinger = 10 * time.Second
+	// maxStreamLinger is that for a request whose events have begun. Its engine notices when it sends the next one.
+	maxStreamLinger = time.Second
 	// maxAbandoned limits the requests that are remembered for that, of which the oldest are dropped first. Prompts with the most
 	// parts take 11 MB.
 	maxAbandoned = 256
@@ -39,8 +41,9 @@
 	isTrial bool          // It was sent to find out whether its parts crash engines.
 	id      string        // Of the call, for the log.
 	names   string        // Of the prompt's shared parts, for the log.
-	events  int           // That the upstream had sent.
+	events  int           // That the upstream had sent, if the connection was open until the crash.
 	age     time.Duration // Since the first of them.
+	closed  bool          // This entry had closed the connection.
 }
 
 // breakage is the connections that one run of an upstream closed in the middle of requests.
@@ -49,7 +52,7 @@
 	at       time.Time
 	suspects []suspect
 	// abandoned are prompts whose connections this entry closed before that, and which the upstream may have gone on with.
-	abandoned []blame.Suspect
+	abandoned []suspect
 	checked   chan struct{} // Closed when the upstream's address was tried.
 }
 
@@ -57,6 +60,8 @@
 type abandonment struct {
 	upstream   *upstream
 	run        *member.Upstream
+	id         string // Of the call, for the log.
+	names      string // Of the prompt's shared parts, for the log.
 	parts      []blame.Part
 	at         time.Time
 	firstEvent time.Time // Zero if there was none.
@@ -64,7 +69,7 @@
 
 // abandon remembers that this entry has closed the connection of a request that was sent to an upstream.
 func (x *exchange) abandon(u *upstream, run *member.Upstream) {
-	if len(x.parts) == 0 || (!x.firstEvent.IsZero() && time.Since(x.firstEvent) > blame.Onset) {
+	if len(x.parts) == 0 {
 		return
 	}
 	g := x.gate
@@ -72,24 +77,43 @@
 	defer g.mu.Unlock()
 	g.abandoned = slices.DeleteFunc(g.abandoned, func(a abandonment) bool { return !a.mayRun() })
 	g.abandoned = slices.Delete(g.abandoned, 0, max(0, len(g.abandoned)-maxAbandoned+1))
-	g.abandoned = append(g.abandoned, abandonment{upstream: u, run: run, parts: x.parts, at: time.Now(), firstEvent: x.firstEvent})
+	g.abandoned = append(g.abandoned, abandonment{
+		upstream: u, run: run, id: x.call.ID, names: x.call.PartNames(), parts: x.parts, at: time.Now(), firstEvent: x.firstEvent,
+	})
 }
 
-// mayRun reports whether the upstream may still run the request, or have begun to answer it just before.
+// mayRun reports whether the upstream may still run the request.
 func (a abandonment) mayRun() bool {
 	if a.firstEvent.IsZero() {
 		return time.Since(a.at) <= maxLinger
 	}
-	return time.Since(a.firstEvent) <= blame.Onset
+	return time.Since(a.at) <= maxStreamLinger
+}
+
+// suspect returns the request as one that may have crashed its upstream now.
+func (a abandonment) suspect() suspect {
+	s := suspect{id: a.id, names: a.names, closed: true, prompt: blame.Suspect{Parts: a.parts}}
+	if !a.firstEvent.IsZero() {
+		s.setAge(time.Since(a.firstEvent))
+	}
+	return s
+}
+
+// setAge sets the time since the first event.
+func (s *suspect) setAge(age time.Duration) {
+	s.age = age
+	if age > blame.Onset {
+		s.prompt.After = age
+	}
 }
 
 // abandonedAt returns the prompts that one run of an upstream may still run although this entry has closed their connections; the
 // lock must be held.
-func (g *Gate) abandonedAt(u *upstream, run *member.Upstream) []blame.Suspect {
-	var list []blame.Suspect
+func (g *Gate) abandonedAt(u *upstream, run *member.Upstream) []suspect {
+	var list []suspect
 	for _, a := range g.abandoned {
 		if a.upstream == u && a.mayRun() && a.run.SameRun(run) {
-			list = append(list, blame.Suspect{Parts: a.parts})
+			list = append(list, a.suspect())
 		}
 	}
 	return list
@@ -108,16 +132,13 @@
 	}
 	s := suspect{route: x.route.Name, digests: x.identity(), isTrial: x.isPartTrial, id: x.call.ID, names: x.call.PartNames(), events: events}
 	x.hasFailed = true
-	if !x.firstEvent.IsZero() {
-		s.age = time.Since(x.firstEvent)
+	s.prompt = blame.Suspect{Begun: begun && events == 0, Parts: x.parts}
+	if events > 0 {
+		s.setAge(time.Since(x.firstEvent))
 	}
 	if x.trial != nil {
 		s.tried = &x.trial.of
 	}
-	s.prompt = blame.Suspect{Begun: begun && events == 0, Parts: x.parts}
-	if events > 0 && s.age > blame.Onset {
-		s.prompt.After = s.age
-	}
 	x.checked = x.gate.accuse(u, run, s)
 	if x.trial != nil {
 		x.trial.isUnclear = true
@@ -258,7 +279,7 @@
 // weighPrompts returns the prompts against whose parts a crash is evidence, and logs why each one is among them or isn't.
 func (g *Gate) weighPrompts(b *breakage, hadTrial bool) []blame.Suspect {
 	var list []blame.Suspect
-	for i, s := range b.suspects {
+	for i, s := range slices.Concat(b.suspects, b.abandoned) {
 		if len(s.prompt.Parts) == 0 {
 			continue
 		}
@@ -267,13 +288,10 @@
 			list = append(list, s.prompt)
 		}
 		if i < maxLoggedSuspects {
-			g.log.Info("crash of parts", "id", s.id, "upstream", b.run.ID, "parts", s.names, "begun", s.prompt.Begun, "events", s.events, "since", s.age, "counts", counts, "why", string(why))
+			g.log.Info("crash of parts", "id", s.id, "upstream", b.run.ID, "parts", s.names, "begun", s.prompt.Begun, "events", s.events, "since", s.age, "closed", s.closed, "counts", counts, "why", string(why))
 		}
 	}
-	if hadTrial {
-		return list
-	}
-	return append(list, b.abandoned...)
+	return list
 }
 
 // logHolds logs requests that are held from now on.
--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -57,6 +58,7 @@
 	firstEvent time.Duration          // Time until the first event of prompts with the parts; 0 for none.
 	after      time.Duration          // From the first event to the crash; see simop.Crash.
 	back       time.Duration          // Time that a crashed engine is down.
+	events     int                    // Of other streams, 15 ms apart; 0 for 6.
 	tallies    map[string]*crashTally // By part.
 
 	mu      sync.Mutex
@@ -119,7 +121,7 @@
 	f.started++
 	e := simop.NewReplica(fmt.Sprintf("e-%d", f.started), "lm", stage, simop.WithListener(l))
 	e.SetBorn(time.Now().UnixMilli())
-	e.SetStream(6, 15*time.Millisecond, 0)
+	e.SetStream(cmp.Or(f.events, 6), 15*time.Millisecond, 0)
 	var crashes []*simop.Crash
 	for part, tally := range f.tallies {
 		crashes = append(crashes, &simop.Crash{
@@ -230,6 +232,11 @@
 
 // load sends prompts at a mean interval to random gates until stop is closed.
 func load(t *testing.T, gates []*testGate, interval time.Duration, stop <-chan struct{}, wait *sync.WaitGroup, next func(i int) (path string, parts []string), answered func(i, status int)) {
+	loadFor(t, callTimeout, gates, interval, stop, wait, next, answered)
+}
+
+// loadFor is load by callers that leave after some time.
+func loadFor(t *testing.T, patience time.Duration, gates []*testGate, interval time.Duration, stop <-chan struct{}, wait *sync.WaitGroup, next func(i int) (path string, parts []string), answered func(i, status int)) {
 	wait.Go(func() {
 		for i := 0; ; i++ {
 			select {
@@ -240,7 +247,7 @@
 			wait.Go(func() {
 				path, parts := next(i)
 				id := fmt.Sprintf("%x", rand.Uint64())
-				resp, _ := gates[rand.N(len(gates))].call(t, "POST", path, id, prompt(id, parts...)...)
+				resp, _ := gates[rand.N(len(gates))].callFor(t, patience, "POST", path, id, prompt(id, parts...)...)
 				status := 0
 				if resp != nil {
 					status = resp.StatusCode
--- a/io/gate/crashparts_test.go
+++ b/io/gate/crashparts_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -64,17 +65,24 @@
 		parts  []string
 		pause  time.Duration // Between two prompts with a part.
 		length time.Duration
+
+		patience time.Duration // Of the callers of prompts with a part.
+		events   int           // Of other streams; see crashFleet.
 	}{
 		"three parts":             {stage: simop.AfterHead, parts: three, pause: 250 * time.Millisecond, length: 24 * time.Second},
 		"1.1 s after an event":    {stage: simop.InsideBody, after: 1100 * time.Millisecond, parts: one, pause: 400 * time.Millisecond, length: 20 * time.Second},
 		"4 s after an event":      {stage: simop.InsideBody, after: 4 * time.Second, parts: one, pause: 400 * time.Millisecond, length: 24 * time.Second},
 		"three parts after 1.5 s": {stage: simop.InsideBody, after: 1500 * time.Millisecond, parts: three, pause: 500 * time.Millisecond, length: 24 * time.Second},
+		"callers leave before": {
+			stage: simop.InsideBody, after: 2 * time.Second, parts: one, pause: 1500 * time.Millisecond, length: 40 * time.Second,
+			patience: 1500 * time.Millisecond, events: 60,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			store := newStore(t)
 			store.Put("op/config", config(1, 3000))
-			fleet := &crashFleet{stage: test.stage, after: test.after, back: crashBack}
+			fleet := &crashFleet{stage: test.stage, after: test.after, back: crashBack, events: test.events}
 			fleet.run(t, store, decodeEngines, test.parts...)
 			gates := startProcesses(t, binary, store)
 			stop := make(chan struct{})
@@ -91,7 +99,7 @@
 			})
 			time.Sleep(2 * time.Second) // Most sound parts have been answered.
 			for i, part := range test.parts {
-				load(t, gates, test.pause, stop, &wait, func(int) (string, []string) {
+				loadFor(t, cmp.Or(test.patience, callTimeout), gates, test.pause, stop, &wait, func(int) (string, []string) {
 					return paths[i%2], []string{"aa", fmt.Sprintf("50%d", i), part}
 				}, func(int, int) {})
 			}
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -210,6 +210,15 @@
 // call sends one request to the gate and returns the response with its body. The response is nil if there was none
 // or if its body is incomplete. The headers are names and values in turn.
 func (g *testGate) call(t *testing.T, method, path, attemptID string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	return g.callFor(t, callTimeout, method, path, attemptID, headers...)
+}
+
+// callTimeout is the patience of callers that don't leave.
+const callTimeout = 20 * time.Second
+
+// callFor is call by a caller that leaves after some time.
+func (g *testGate) callFor(t *testing.T, patience time.Duration, method, path, attemptID string, headers ...string) (*http.Response, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, "http://"+g.set.Listen.String()+path, nil)
 	if err != nil {
@@ -220,7 +229,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 20 * time.Second}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: patience}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, ""
