--- a/io/front/conn_test.go
+++ b/io/front/conn_test.go
@@ -49,8 +49,17 @@
 	}
 }
 
+// shortHeadTimeout is the deadline of a head where tests wait for it.
+const shortHeadTimeout = 300 * time.Millisecond
+
 // start serves rec on a free port until the test ends.
 func start(t *testing.T, rec *recorder, opts ...front.Option) *net.TCPAddr {
+	t.Helper()
+	return startFor(t, rec, shortHeadTimeout, opts...)
+}
+
+// startFor is start with another deadline of a head.
+func startFor(t *testing.T, rec *recorder, headTimeout time.Duration, opts ...front.Option) *net.TCPAddr {
 	t.Helper()
 	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -58,7 +67,7 @@
 	}
 	rec.done = make(chan struct{})
 	s := front.New(l, rec, slog.New(slog.DiscardHandler), opts...)
-	s.SetLimits(route.Limits{MaxHeaderBytes: 8000, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 5 * time.Second})
+	s.SetLimits(route.Limits{MaxHeaderBytes: 8000, HeaderTimeout: headTimeout, IdleTimeout: 5 * time.Second})
 	go func() { _ = s.Serve() }() // Ends with Shutdown.
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -115,6 +124,7 @@
 		bad      = "GET /bad HTTP/1.1\nHost: h\r\n\r\n"
 		badChunk = "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n0x2\r\ndy\r\n0\r\n\r\n"
 	)
+	const headTimeout = 10 * time.Second // A busy machine takes a second for a head in 230 parts.
 	long := strings.Repeat("x", 7000)
 	tests := []struct {
 		name, data string
@@ -142,7 +152,7 @@
 				continue // Parts of one byte would take longer than the deadline of a head.
 			}
 			var rec recorder
-			addr := start(t, &rec)
+			addr := startFor(t, &rec, headTimeout)
 			statuses, closed := exchange(t, addr, test.data, size, len(test.statuses))
 			rec.mu.Lock()
 			if !slices.Equal(statuses, test.statuses) || closed != test.closed || !slices.Equal(rec.requests, test.requests) {
