--- a/io/front/conn_test.go
+++ b/io/front/conn_test.go
@@ -124,7 +124,7 @@
 		bad      = "GET /bad HTTP/1.1\nHost: h\r\n\r\n"
 		badChunk = "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n0x2\r\ndy\r\n0\r\n\r\n"
 	)
-	const headTimeout = 10 * time.Second // A busy machine takes a second for a head in 230 parts.
+	const headTimeout = 10 * time.Second // No case waits for it. A busy machine can take longer than shortHeadTimeout for a head in 230 parts.
 	long := strings.Repeat("x", 7000)
 	tests := []struct {
 		name, data string
@@ -149,7 +149,7 @@
 	for _, test := range tests {
 		for _, size := range []int{1 << 20, 61, 1} {
 			if size*2000 < len(test.data) {
-				continue // Parts of one byte would take longer than the deadline of a head.
+				continue // Parts of one byte take long.
 			}
 			var rec recorder
 			addr := startFor(t, &rec, headTimeout)
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -23,7 +23,7 @@
 	// maxLinger is how long an engine may go on with a request without events whose connection this entry has closed. Engines
 	// stop at the next chunk of the prompt, if they notice at all; the longest prompts take a few seconds.
 	maxLinger = 10 * time.Second
-	// maxStreamLinger is that for a request whose events have begun. Its engine notices when it sends the next one.
+	// maxStreamLinger replaces maxLinger for a request whose events have begun. Its engine notices when it sends the next one.
 	maxStreamLinger = time.Second
 	// maxAbandoned limits the requests that are remembered for that, of which the oldest are dropped first. Prompts with the most
 	// parts take 11 MB.
