blame: a request at a crash counts as news only if it is kept

Cause: of a crash, sixteen requests are kept (and eight late ones). Further ones that a report had were added, counted as news and dropped again, with each report for the 10 s that a crash is reported; news makes an entry report at once. Change: news is a new crash, or a request or part that is still there after the limits were applied. TestKnownCrashIsNoNews failed before (16 of 24 reports were news, 4 are due).

--- a/core/blame/keep.go
+++ b/core/blame/keep.go
@@ -28,15 +28,16 @@
 		known = &crash{at: at, before: l.traffic}
 		l.crashes[c.Run] = known
 	}
-	changed := len(known.suspects) == 0
 	share := (maxCrashParts - known.size()) / max(1, min(len(c.Suspects), maxSuspects+maxLateSuspects))
+	var added []Suspect
 	for _, s := range c.Suspects {
 		if l.addSuspect(known, s, share) {
-			changed = true
+			added = append(added, s)
 		}
 	}
 	slices.SortStableFunc(known.suspects, l.compareSuspects)
 	known.suspects = known.first(maxSuspects, maxLateSuspects)
+	changed := isNew || slices.ContainsFunc(added, func(s Suspect) bool { return known.indexOf(s) >= 0 })
 	isFull := false
 	for l.size() > maxKeptParts && len(l.crashes) > 1 {
 		l.dropOldestCrash()
@@ -61,6 +62,13 @@
 	return nil
 }
 
+// indexOf returns the index of a request among the suspects, -1 if it isn't among them.
+func (c *crash) indexOf(s Suspect) int {
+	return slices.IndexFunc(c.suspects, func(o Suspect) bool {
+		return o.Begun == s.Begun && o.isLate() == s.isLate() && o.own() == s.own()
+	})
+}
+
 // numAt returns the number of crashes at one moment.
 func (l *Ledger) numAt(at time.Time) int {
 	n := 0
@@ -80,9 +88,7 @@
 		return false
 	}
 	own := s.own()
-	i := slices.IndexFunc(c.suspects, func(o Suspect) bool {
-		return o.Begun == s.Begun && o.isLate() == s.isLate() && o.own() == own
-	})
+	i := c.indexOf(s)
 	known := make(map[Part]bool)
 	if i >= 0 {
 		for _, p := range c.suspects[i].Parts {
--- a/core/blame/several_test.go
+++ b/core/blame/several_test.go
@@ -333,6 +333,40 @@
 	})
 }
 
+// TestKnownCrashIsNoNews guards against reports of a crash that count as news each time, since the requests in them are more than
+// are kept: each entry that gets them would report at once, for as long as the crash is reported.
+func TestKnownCrashIsNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		reports := make([]*blame.Report, 8) // Of eight entries, with four requests each; sixteen are kept.
+		for i := range reports {
+			var sets [][]blame.Part
+			for k := range 4 {
+				sets = append(sets, []blame.Part{system, other + blame.Part(4*i+k)})
+			}
+			reports[i] = crash(7, false, sets...)
+		}
+		news := 0
+		for range 3 {
+			for _, r := range reports {
+				if _, changed := l.Merge(r); changed {
+					news++
+				}
+			}
+		}
+		if news != 4 {
+			t.Errorf("%d of 24 reports are news, want those 4 with requests that are kept", news)
+		}
+		begun := crash(7, true, []blame.Part{system, bad})
+		if _, changed := l.Merge(begun); !changed {
+			t.Error("a more suspect request is no news")
+		}
+		if _, changed := l.Merge(begun); changed {
+			t.Error("the more suspect request is news twice")
+		}
+	})
+}
+
 // TestOrdinaryLateCrashes guards against sound parts that are blocked since long answers break off in crashes of other causes.
 func TestOrdinaryLateCrashes(t *testing.T) {
 	for seed := range uint64(20) {
