--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,9 +152,12 @@
 }
 
 // freeAddrs returns addresses with unused ports on a random loopback host. Outgoing connections don't use that host
-// as their source, so they can't take one of the ports before a process listens on it.
+// as their source, so they can't take one of the ports before a process listens on it. Nor is a process started meanwhile,
+// which would hold a copy of the listeners until it has replaced its program, so that the ports are still taken after Close.
 func freeAddrs(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	host := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(rand.N(250)), byte(1 + rand.N(250))})
 	var list []netip.AddrPort
 	for range n {
