blame: a part that was never answered is late suspect beside other new parts

Cause: a crash had no late suspects if a request at an earlier stage had a new part that others share. Several parts crash engines at a time, so that the one at fault was passed over as late beside the others. Change: that holds for parts that were answered before only. TestLateBesideNewParts failed before.

--- a/core/blame/convict.go
+++ b/core/blame/convict.go
@@ -120,7 +120,8 @@
 
 // numSuspects returns how many suspects of a crash it may be due to as far as a part is concerned, from the first one on: none if
 // another block explains it or, if the part was answered before, a hold of parts that weren't; only those that were begun if one of
-// them has a part that was not answered before; no late ones if another one shares such a part with others.
+// them has a part that was not answered before; no late ones if another one shares such a part with others and the part was
+// answered before.
 func (l *Ledger) numSuspects(s *scene, crash int, p Part) int {
 	_, wasAnswered := l.answers.last(p)
 	if s.isExplained(crash, p) || (wasAnswered && s.isDueToHeld(crash, p)) {
@@ -132,7 +133,7 @@
 		return len(begun)
 	}
 	soon := c.suspects[:c.numSoon()]
-	if slices.ContainsFunc(soon, func(s Suspect) bool { return l.hasUnanswered(s.shared()) }) {
+	if wasAnswered && slices.ContainsFunc(soon, func(s Suspect) bool { return l.hasUnanswered(s.shared()) }) {
 		return len(soon)
 	}
 	return len(c.suspects)
--- a/core/blame/several_test.go
+++ b/core/blame/several_test.go
@@ -278,6 +278,27 @@
 	})
 }
 
+// TestLateBesideNewParts guards against a part that is never found since other new parts are at an earlier state in each crash.
+func TestLateBesideNewParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := blame.New()
+		answerOthers(l, 100)
+		for n := range 3 {
+			time.Sleep(2 * time.Second)
+			l.Crashed(leave.Run{Key: uint32(n), Started: 1}, time.Now(), []blame.Suspect{
+				{Parts: []blame.Part{system, other + blame.Part(n), 500 + blame.Part(n)}},
+				{Parts: []blame.Part{system, bad, 600 + blame.Part(n)}, After: 1500 * time.Millisecond},
+			})
+		}
+		if !l.Held([]blame.Part{system, bad, 700}) {
+			t.Error("not held after three crashes")
+		}
+		if l.Held([]blame.Part{system, other, 701}) {
+			t.Error("a part that was at one crash is held")
+		}
+	})
+}
+
 // TestLongAnswerEndsHold guards against sound parts that stay held while an answer goes on for longer than any crash took.
 func TestLongAnswerEndsHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
