blame: a new part at five crashes is held although a block explains most of them

Cause: a block of one part explains all crashes that it was at. The evidence against another part that came with it (7 crashes) fell to 2, below what a hold takes, and its prompts went to engines freely. A hold costs a sound prompt one trial. TestOftenBesideBlocked failed before.

--- a/core/blame/convict.go
+++ b/core/blame/convict.go
@@ -28,6 +28,7 @@
 	spots     []spot  // Where it was at these crashes, if that counts.
 	first     *crash  // The first of these crashes.
 	runs      int     // Number of these crashes.
+	present   int     // Number of crashes since its last answer that it was at, whatever they are due to.
 	begun     moments // Those with a request that was begun.
 	soon      moments // Those with a request that had no event yet or its first one lately.
 	any       moments // All of them.
@@ -61,11 +62,18 @@
 func (l *Ledger) against(p Part, s *scene) *evidence {
 	answered, wasAnswered := l.answers.last(p)
 	e := &evidence{part: p, held: l.holdOf(p)}
-	last, lastBegun := -1, -1
+	last, lastBegun, lastPresent := -1, -1, -1
 	own := make(map[Part]bool)
 	for _, at := range s.spots[p] {
 		c := s.crashes[at.crash]
-		if !c.at.After(answered) || at.suspect >= l.numSuspects(s, at.crash, p) {
+		if !c.at.After(answered) {
+			continue
+		}
+		if at.crash != lastPresent {
+			lastPresent = at.crash
+			e.present++
+		}
+		if at.suspect >= l.numSuspects(s, at.crash, p) {
 			continue
 		}
 		suspect := c.suspects[at.suspect]
--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -129,7 +129,7 @@
 		most = max(most, e.runs)
 	}
 	for _, e := range list {
-		if 2*e.runs >= most || l.isNewBegun(e) {
+		if 2*e.runs >= most || l.isNewBegun(e) || l.isNewOften(e) {
 			l.addHold(s.heldParts(e), time.Now(), Change{Cause: ByCrashes, Crashes: e.runs})
 		}
 	}
@@ -178,6 +178,13 @@
 	return !wasAnswered && e.begunRuns >= minHoldBegun && l.haveOthersAnswers()
 }
 
+// isNewOften reports whether a part was never answered, though others were, and was at so many crashes that it is held even if
+// blocks explain most of them. Several parts that crash engines are at many crashes together.
+func (l *Ledger) isNewOften(e *evidence) bool {
+	_, wasAnswered := l.answers.last(e.part)
+	return !wasAnswered && e.present >= minOther && l.haveOthersAnswers()
+}
+
 // haveOthersAnswers reports whether engines have answered enough prompts, estimated from those of this entry. Entries tell each other
 // of answers to suspect parts.
 func (l *Ledger) haveOthersAnswers() bool {
@@ -186,7 +193,7 @@
 
 // mayHold reports whether the evidence suffices to hold a part.
 func (l *Ledger) mayHold(e *evidence) bool {
-	if l.isNewBegun(e) {
+	if l.isNewBegun(e) || l.isNewOften(e) {
 		return true
 	}
 	if e.runs < minHold {
--- a/core/blame/several_test.go
+++ b/core/blame/several_test.go
@@ -336,6 +336,35 @@
 	})
 }
 
+// TestOftenBesideBlocked guards against a part that is never held since a block of another part, which came with it, explains
+// most of its crashes.
+func TestOftenBesideBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const second blame.Part = 3
+		l := blame.New()
+		answerOthers(l, 100)
+		for n := range 7 {
+			time.Sleep(2 * time.Second)
+			answerOthers(l, 100)
+			var suspects []blame.Suspect
+			if n < 5 {
+				suspects = append(suspects, blame.Suspect{Parts: []blame.Part{system, bad, 500 + blame.Part(n)}, After: 1500 * time.Millisecond})
+			}
+			if n > 1 {
+				suspects = append(suspects, blame.Suspect{Parts: []blame.Part{system, second, 600}, After: 1500 * time.Millisecond})
+			}
+			l.Crashed(leave.Run{Key: uint32(n), Started: 1}, time.Now(), suspects)
+			review(l)
+		}
+		if !isBlocked(l, system, bad, 500) {
+			t.Error("the first part is not blocked after five crashes")
+		}
+		if !l.Held([]blame.Part{system, second, 600}) {
+			t.Error("the second part is not held after five crashes")
+		}
+	})
+}
+
 // TestLateCrashIsNoUrgentNews guards against alerts at once, of all entries, about each late suspect that one of them adds.
 func TestLateCrashIsNoUrgentNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
