soak: several parts crash engines, and callers leave before late crashes

Odd seeds have one or three parts that crash engines, at once or 1.5 s after the first event, and under late crashes callers that leave after 1.1 s; the bits of the seed tell. Seeds that had one part play as before.

--- a/io/gate/repeats_test.go
+++ b/io/gate/repeats_test.go
@@ -148,7 +148,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newSoakCluster(t, binary, 1, false, 0)
+			c := newSoakCluster(t, binary, 1, crashPlan{})
 			stop := make(chan struct{})
 			var callers sync.WaitGroup
 			callers.Go(func() { c.press(stop) })
--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -42,8 +44,6 @@
 	// longEvery is how many requests of a caller have one with a body of longBody bytes among them, which buffers of the kernel don't hold.
 	longEvery = 37
 	longBody  = 1 << 20
-	// lateCrash is the time from the first event of a prompt to the crash of its engine under some seeds.
-	lateCrash = 1500 * time.Millisecond
 )
 
 // soakCluster runs gates and agents as processes of their own against a simulated platform.
@@ -56,22 +56,21 @@
 	storeRelays []*simnet.Relay // The relay between each gate and the store.
 	agents      []*process
 	engines     []*simop.Replica
-	version     atomic.Int64  // Version of the newest configuration.
-	added       atomic.Int64  // Number of replicas of the app service that were ever added.
-	hasCrashes  bool          // Some prompts crash the engines.
-	crashAfter  time.Duration // From the first event of such a prompt to the crash; 0 for before it.
+	version     atomic.Int64 // Version of the newest configuration.
+	added       atomic.Int64 // Number of replicas of the app service that were ever added.
+	crashPlan
 
 	mu         sync.Mutex
 	apps       []*relayedReplica // The replicas of the app service that faults are injected into.
 	replicas   []*simop.Replica  // All replicas, including removed ones.
 	results    []callResult
 	served     map[string]int64               // Newest configuration version that each instance of a gate served.
-	crashes    []time.Time                    // Of engines under crashPart.
+	crashes    map[string][]time.Time         // Of engines, by the part that they crashed under.
 	limits     map[*simop.Replica]*namedLimit // The limits in force.
 	excesses   []string                       // Limits that calm gates exceeded.
 	appCrashes []time.Time                    // Of replicas of the app service under crashBody.
 	appLate    []string                       // Attempt ids of the requests with crashBody that calm gates sent too late after the third crash.
-	late       []string                       // Attempt ids of the requests with crashPart that calm gates sent too late after the fifth crash.
+	late       map[string][]string            // Attempt ids of the requests with each part that calm gates sent too late after its fifth crash.
 	stopped    bool                           // No engine is started again.
 	disturbed  []disturbance                  // By gate.
 	limiting   sync.WaitGroup                 // The replicas that name limits.
@@ -106,7 +105,7 @@
 
 // TestSoak runs gates and agents as processes, injects overlapping faults and checks what callers and upstreams see:
 // requests of unsafe routes run at most once, and not at all if they were rejected; repeats stay within their budget; what was accepted is answered; streams go on at one replica at a time; no process ends by itself; responses are complete; no gate
-// returns to an older configuration; upstreams that name limits get no more than these; prompts with a part that crashes engines, under every other odd seed seconds after the first event, and requests that crash plain upstreams, which odd seeds send, soon reach none; and
+// returns to an older configuration; upstreams that name limits get no more than these; prompts with parts that crash engines (see seedCrashes), and requests that crash plain upstreams, which odd seeds send, soon reach none; and
 // requests are served again soon after the last fault. The environment
 // variables SEED and LENGTH set the random seed and the duration of the faults, SIZE multiplies the processes, KEEP sets a
 // directory for the logs.
@@ -133,7 +132,7 @@
 		}
 	}
 	t.Logf("seed %d, %v, size %d", seed, length, size)
-	c := newSoakCluster(t, buildBinary(t), size, seed%2 == 1, []time.Duration{0, lateCrash}[seed/2%2])
+	c := newSoakCluster(t, buildBinary(t), size, seedCrashes(seed))
 	stop := make(chan struct{})
 	var callers, faultSeries sync.WaitGroup
 	for i := range callersPerSize * size {
@@ -171,15 +170,14 @@
 // clusters is the number of clusters that this test process has started.
 var clusters atomic.Int64
 
-// newSoakCluster starts a cluster of a multiple of the default size without faults. With hasCrashes some prompts crash engines, at once or
-// a time after their first event.
-func newSoakCluster(t *testing.T, binary string, size int, hasCrashes bool, crashAfter time.Duration) *soakCluster {
+// newSoakCluster starts a cluster of a multiple of the default size without faults.
+func newSoakCluster(t *testing.T, binary string, size int, crashes crashPlan) *soakCluster {
 	t.Helper()
 	logs := t.TempDir()
 	if keep := os.Getenv("KEEP"); keep != "" {
 		logs = keep
 	}
-	c := &soakCluster{t: t, number: int(clusters.Add(1)), store: newStore(t), served: make(map[string]int64), faults: make(faultLog), arrivals: make(map[string][]*soakArrival), limits: make(map[*simop.Replica]*namedLimit), hasCrashes: hasCrashes, crashAfter: crashAfter, disturbed: make([]disturbance, gatesPerSize*size)}
+	c := &soakCluster{t: t, number: int(clusters.Add(1)), store: newStore(t), served: make(map[string]int64), faults: make(faultLog), arrivals: make(map[string][]*soakArrival), limits: make(map[*simop.Replica]*namedLimit), crashPlan: crashes, crashes: make(map[string][]time.Time), late: make(map[string][]string), disturbed: make([]disturbance, gatesPerSize*size)}
 	t.Cleanup(c.stopEngines)
 	c.configure()
 	peer := freeAddrs(t, 1)[0].Port()
@@ -358,7 +356,7 @@
 		c.registerAgain(e)
 	case 11:
 		slot := random.IntN(len(c.engines))
-		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond, false)
+		c.replaceEngine(slot, c.engine(slot), time.Duration(200+random.IntN(1500))*time.Millisecond, "")
 	case 12:
 		r := c.randomApp(random).Replica
 		if random.IntN(2) == 0 {
@@ -504,10 +502,10 @@
 			if random.IntN(2) == 0 {
 				path, result.unsafe = "/fixed/x", true
 			}
-			result.crash = c.hasCrashes && random.IntN(6) == 0
+			result.crash = random.IntN(6) < len(c.parts)
 		}
 		body := "body"
-		if c.hasCrashes && path == "/once/x" && random.IntN(30) == 0 {
+		if len(c.parts) > 0 && path == "/once/x" && random.IntN(30) == 0 {
 			body, result.crash = crashBody, true
 		}
 		before := c.newestServed(gate, starts)
@@ -529,8 +527,10 @@
 		for i := 0; i < len(promptHeaders); i += 2 {
 			req.Header.Set(promptHeaders[i], promptHeaders[i+1])
 		}
+		patience := client.Timeout
 		if result.crash && body != crashBody {
-			req.Header.Set("X-Prompt-Prefix", "aa:500,"+crashPart+":4800,cc:6700")
+			req.Header.Set("X-Prompt-Prefix", "aa:500,"+c.parts[seq%len(c.parts)]+":4800,cc:6700")
+			patience = cmp.Or(c.patience, patience)
 		}
 		req.Header.Set("X-Deadline-Remaining-Ms", "5000")
 		if seq%2 == 0 {
@@ -538,7 +538,8 @@
 		}
 		c.repeats.send(service)
 		var sent atomic.Pointer[time.Time]
-		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 			GotConn: func(i httptrace.GotConnInfo) { result.reused = i.Reused },
 			WroteRequest: func(i httptrace.WroteRequestInfo) {
 				if now := time.Now(); i.Err == nil {
@@ -551,7 +552,8 @@
 			result.headSeen = true
 			result.status = c.checkResponse(resp, id, path)
 		}
-		result.ended, result.timedOut = time.Now(), os.IsTimeout(err)
+		result.ended, result.timedOut = time.Now(), os.IsTimeout(err) || ctx.Err() != nil
+		cancel()
 		result.sent = result.ended // If the end came first.
 		if at := sent.Load(); at != nil {
 			result.sent = *at
@@ -683,13 +685,17 @@
 	c.mu.Lock()
 	c.checkLost(arrivals)
 	c.checkOverlaps(arrivals)
-	if len(c.late) > allowedAfter {
-		c.t.Errorf("%d requests with a part that crashes engines were sent later than %v after the fifth of %d crashes, want %d at most: %v", len(c.late), contactTime, len(c.crashes), allowedAfter, c.late)
+	for _, part := range c.parts {
+		crashes, late := c.crashes[part], c.late[part]
+		if len(late) > allowedAfter {
+			c.t.Errorf("%d requests with %s, which crashes engines, were sent later than %v after the fifth of %d crashes, want %d at most: %v", len(late), part, contactTime, len(crashes), allowedAfter, late)
+		}
+		c.t.Logf("%d engines crashed under %s, %d late", len(crashes), part, len(late))
 	}
 	if len(c.appLate) > allowedAfter {
 		c.t.Errorf("%d requests that crash replicas were sent later than %v after the third of %d crashes, want %d at most: %v", len(c.appLate), contactTime, len(c.appCrashes), allowedAfter, c.appLate)
 	}
-	c.t.Logf("%d engines crashed under the part, %d late; %d replicas under the request, %d late", len(c.crashes), len(c.late), len(c.appCrashes), len(c.appLate))
+	c.t.Logf("%d replicas crashed under the request, %d late", len(c.appCrashes), len(c.appLate))
 	for _, e := range c.excesses {
 		c.t.Error(e)
 	}
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -13,6 +13,34 @@
 	"pimentoseam/io/simop"
 )
 
+// crashPlan states which prompts crash the engines in TestSoak.
+type crashPlan struct {
+	parts    []string      // Prompts with one of them crash engines.
+	after    time.Duration // From the first event of such a prompt to the crash; 0 for a crash before it.
+	patience time.Duration // After which the callers of these prompts leave; 0 for never.
+}
+
+// seedCrashes returns the plan of a seed: none if it is even; otherwise its higher bits tell whether engines crash long after the first event, whether
+// three parts crash them, and whether the callers leave before a late crash.
+func seedCrashes(seed uint64) crashPlan {
+	const lateCrash, patience = 1500 * time.Millisecond, 1100 * time.Millisecond
+	var plan crashPlan
+	if seed%2 == 0 {
+		return plan
+	}
+	plan.parts = []string{crashPart}
+	if seed>>1%2 == 1 {
+		plan.after = lateCrash
+	}
+	if seed>>2%2 == 1 {
+		plan.parts = append(plan.parts, "bad1", "bad2")
+	}
+	if seed>>3%2 == 1 && plan.after > 0 {
+		plan.patience = patience
+	}
+	return plan
+}
+
 // disturbance is what TestSoak does to a gate.
 type disturbance struct {
 	faults int       // Number of faults in progress.
@@ -44,16 +72,18 @@
 	e := simop.NewReplica(id, "lm", stage, simop.WithListener(l), simop.WithArrivals(c.arrive(id, "lm")))
 	e.SetBorn(time.Now().UnixMilli())
 	e.SetStream(streamEvents, 15*time.Millisecond, 0)
-	if c.hasCrashes {
-		stage := simop.AfterHead
-		if c.crashAfter > 0 {
-			stage = simop.InsideBody
-		}
-		e.SetCrash(&simop.Crash{
-			Matches: simop.HasPart(crashPart), Stage: stage, After: c.crashAfter, OnArrival: c.recordCrashArrival,
-			OnCrash: func() { c.replaceEngine(slot, e, time.Second, true) },
+	crashStage := simop.AfterHead
+	if c.after > 0 {
+		crashStage = simop.InsideBody
+	}
+	var crashes []*simop.Crash
+	for _, part := range c.parts {
+		crashes = append(crashes, &simop.Crash{
+			Matches: simop.HasPart(part), Stage: crashStage, After: c.after,
+			OnArrival: func(id string) { c.recordCrashArrival(part, id) }, OnCrash: func() { c.replaceEngine(slot, e, time.Second, part) },
 		})
 	}
+	e.SetCrash(crashes...)
 	c.engines[slot], c.replicas = e, append(c.replicas, e)
 	c.store.Put("servers/"+e.ID, e.Registration("ready"))
 	e.SetOnStage(func() { c.registerAgain(e) })
@@ -84,13 +114,14 @@
 	return d.faults == 0 && time.Since(d.ended) >= contactTime
 }
 
-// recordCrashArrival checks when a request with crashPart reaches an engine; its id names the gate that sent it.
-func (c *soakCluster) recordCrashArrival(id string) {
+// recordCrashArrival checks when a request with a part that crashes engines reaches one; its id names the gate that sent it.
+func (c *soakCluster) recordCrashArrival(part, id string) {
 	gate := c.gateOf(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isCalm(gate) && len(c.crashes) >= allowedCrash && time.Since(c.crashes[allowedCrash-1]) > contactTime {
-		c.late = append(c.late, id)
+	crashes := c.crashes[part]
+	if c.isCalm(gate) && len(crashes) >= allowedCrash && time.Since(crashes[allowedCrash-1]) > contactTime {
+		c.late[part] = append(c.late[part], id)
 	}
 }
 
@@ -101,7 +132,7 @@
 func (c *soakCluster) startApp(id string, l net.Listener) *simop.Replica {
 	r := simop.NewReplica(id, "app", "", simop.WithListener(l), simop.WithArrivals(c.arrive(id, "app")))
 	r.SetBorn(time.Now().UnixMilli())
-	if c.hasCrashes {
+	if len(c.parts) > 0 {
 		r.SetCrash(&simop.Crash{
 			Matches: func(_ *http.Request, body string) bool { return body == crashBody }, Stage: simop.BeforeHead,
 			OnArrival: c.recordAppArrival, OnCrash: func() { c.restartApp(r) },
@@ -152,16 +183,16 @@
 	c.store.Put("servers/"+next.ID, next.RegistrationAt("ready", relay.Addr()))
 }
 
-// replaceEngine crashes the engine of a slot, and starts another one at its address later. It does nothing if that was done
-// already, as by another request with crashPart.
-func (c *soakCluster) replaceEngine(slot int, e *simop.Replica, downTime time.Duration, isUnderPart bool) {
+// replaceEngine crashes the engine of a slot, under a part of a prompt unless it is empty, and starts another one at its address
+// later. It does nothing if that was done already, as by another request.
+func (c *soakCluster) replaceEngine(slot int, e *simop.Replica, downTime time.Duration, part string) {
 	c.mu.Lock()
 	if e == nil || c.engines[slot] != e || c.stopped {
 		c.mu.Unlock()
 		return
 	}
-	if isUnderPart {
-		c.crashes = append(c.crashes, time.Now())
+	if part != "" {
+		c.crashes[part] = append(c.crashes[part], time.Now())
 	}
 	c.engines[slot] = nil
 	c.faults[e.ID] = append(c.faults[e.ID], &interval{from: time.Now().Add(-crashNotice)})
--- a/io/gate/soaklost_test.go
+++ b/io/gate/soaklost_test.go
@@ -41,15 +41,15 @@
 	}
 }
 
-// find returns the fault of a name that overlaps with a time and that is planned or not; nil if there is none.
+// find returns the latest fault of a name that overlaps with a time and that is planned or not; nil if there is none. A gate may be
+// stopped again soon after its start.
 func (f faultLog) find(name string, from, to time.Time, isPlanned bool) *interval {
-	i := slices.IndexFunc(f[name], func(i *interval) bool {
-		return i.isPlanned == isPlanned && i.from.Before(to) && (i.to.IsZero() || i.to.After(from))
-	})
-	if i < 0 {
-		return nil
+	for _, i := range slices.Backward(f[name]) {
+		if i.isPlanned == isPlanned && i.from.Before(to) && (i.to.IsZero() || i.to.After(from)) {
+			return i
+		}
 	}
-	return f[name][i]
+	return nil
 }
 
 // gateName returns the name of a gate.
--- a/io/simop/crash.go
+++ b/io/simop/crash.go
@@ -105,9 +105,9 @@
 // eventPause is the time between two events of a stream under which the replica crashes late.
 const eventPause = 100 * time.Millisecond
 
-// streamUntil sends events until a time, the first of which ends the one that has begun under the given id.
+// streamUntil sends events until a time or a crash, the first of which ends the one that has begun under the given id.
 func (r *Replica) streamUntil(w http.ResponseWriter, begun int, end time.Time) {
-	for i := begun; time.Now().Before(end); i++ {
+	for i := begun; time.Now().Before(end) && !r.hasCrashed.Load(); i++ {
 		_, _ = fmt.Fprintf(w, "\ndata: %s\n\nid: %d", r.ID, i+1) // Fails only if the caller has disconnected.
 		_ = http.NewResponseController(w).Flush()                // Fails as above.
 		time.Sleep(eventPause)
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,8 @@
 	Service string
 	server  *httptest.Server
 
+	hasCrashed atomic.Bool
+
 	mu             sync.Mutex
 	stage          string            // Empty for a plain service.
 	born           int64             // Start time in Unix milliseconds, 0 if it is not stated.
@@ -87,6 +90,7 @@
 
 // Crash ends the replica as a crash of its process does: open connections are closed and new ones refused.
 func (r *Replica) Crash() {
+	r.hasCrashed.Store(true)
 	_ = r.server.Listener.Close() // It may be closed already.
 	r.server.CloseClientConnections()
 }
