--- a/core/blame/several_test.go
+++ b/core/blame/several_test.go
@@ -336,8 +336,7 @@
 	})
 }
 
-// TestOftenBesideBlocked guards against a part that is never held since a block of another part, which came with it, explains
-// most of its crashes.
+// TestOftenBesideBlocked guards against a part that is never held since the block of another one explains most of its crashes.
 func TestOftenBesideBlocked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const second blame.Part = 3
@@ -383,8 +382,7 @@
 	})
 }
 
-// TestKnownCrashIsNoNews guards against reports of a crash that count as news each time, since the requests in them are more than
-// are kept: each entry that gets them would report at once, for as long as the crash is reported.
+// TestKnownCrashIsNoNews guards against reports that count as news each time since not all requests in them are kept.
 func TestKnownCrashIsNoNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := blame.New()
