gate: a prompt whose caller left is suspect when another entry saw the crash

Cause: an entry that has closed its only connection to an engine doesn't see its crash. It heard of it from another entry, whose suspects are other requests. Change: an entry adds the prompts that it has abandoned at a run, and that this may have run at the time, to the crashes that others report in the next 2 s.

--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -20,14 +20,6 @@
 	// crashSettle is the time from the first connection that an upstream has closed in the middle of a request until its
 	// address is tried. The other requests there fail meanwhile.
 	crashSettle = 20 * time.Millisecond
-	// maxLinger is how long an engine may go on with a request without events whose connection this entry has closed. Engines
-	// stop at the next chunk of the prompt, if they notice at all; the longest prompts take a few seconds.
-	maxLinger = 10 * time.Second
-	// maxStreamLinger replaces maxLinger for a request whose events have begun. Its engine notices when it sends the next one.
-	maxStreamLinger = time.Second
-	// maxAbandoned limits the requests that are remembered for that, of which the oldest are dropped first. Prompts with the most
-	// parts take 11 MB.
-	maxAbandoned = 256
 	// maxCrashSuspects limits the suspects that are collected for one upstream.
 	maxCrashSuspects = 64
 )
@@ -56,49 +48,6 @@
 	checked   chan struct{} // Closed when the upstream's address was tried.
 }
 
-// abandonment is a request to an upstream whose connection this entry has closed before the response was complete.
-type abandonment struct {
-	upstream   *upstream
-	run        *member.Upstream
-	id         string // Of the call, for the log.
-	names      string // Of the prompt's shared parts, for the log.
-	parts      []blame.Part
-	at         time.Time
-	firstEvent time.Time // Zero if there was none.
-}
-
-// abandon remembers that this entry has closed the connection of a request that was sent to an upstream.
-func (x *exchange) abandon(u *upstream, run *member.Upstream) {
-	if len(x.parts) == 0 {
-		return
-	}
-	g := x.gate
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.abandoned = slices.DeleteFunc(g.abandoned, func(a abandonment) bool { return !a.mayRun() })
-	g.abandoned = slices.Delete(g.abandoned, 0, max(0, len(g.abandoned)-maxAbandoned+1))
-	g.abandoned = append(g.abandoned, abandonment{
-		upstream: u, run: run, id: x.call.ID, names: x.call.PartNames(), parts: x.parts, at: time.Now(), firstEvent: x.firstEvent,
-	})
-}
-
-// mayRun reports whether the upstream may still run the request.
-func (a abandonment) mayRun() bool {
-	if a.firstEvent.IsZero() {
-		return time.Since(a.at) <= maxLinger
-	}
-	return time.Since(a.at) <= maxStreamLinger
-}
-
-// suspect returns the request as one that may have crashed its upstream now.
-func (a abandonment) suspect() suspect {
-	s := suspect{id: a.id, names: a.names, closed: true, prompt: blame.Suspect{Parts: a.parts}}
-	if !a.firstEvent.IsZero() {
-		s.setAge(time.Since(a.firstEvent))
-	}
-	return s
-}
-
 // setAge sets the time since the first event.
 func (s *suspect) setAge(age time.Duration) {
 	s.age = age
@@ -107,18 +56,6 @@
 	}
 }
 
-// abandonedAt returns the prompts that one run of an upstream may still run although this entry has closed their connections; the
-// lock must be held.
-func (g *Gate) abandonedAt(u *upstream, run *member.Upstream) []suspect {
-	var list []suspect
-	for _, a := range g.abandoned {
-		if a.upstream == u && a.mayRun() && a.run.SameRun(run) {
-			list = append(list, a.suspect())
-		}
-	}
-	return list
-}
-
 // isTried reports whether the request was sent to find out whether it, or parts of it, crash upstreams.
 func (s *suspect) isTried() bool {
 	return s.isTrial || s.tried != nil
@@ -151,7 +88,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if u.breakage == nil {
-		u.breakage = &breakage{run: run, at: time.Now(), abandoned: g.abandonedAt(u, run), checked: make(chan struct{})}
+		u.breakage = &breakage{run: run, at: time.Now(), abandoned: g.abandonedAt(run, time.Now()), checked: make(chan struct{})}
 		go g.checkCrash(u, u.breakage)
 	}
 	if len(u.breakage.suspects) < maxCrashSuspects {
@@ -204,6 +141,7 @@
 		g.logBlocks(blocks, "itself")
 		g.logChanges()
 	}
+	g.forgetAbandoned(b.run)
 	requests, tried := crash.Suspects(g.attempts(b))
 	hold := g.crashes.Crashed(runOf(b.run), beat.Key(b.run.Service), requests, tried)
 	suspects, held := g.crashes.Known()
@@ -342,7 +280,7 @@
 	added, changed := g.blame.Merge(a.Blame)
 	g.logBlocks(added, a.Name)
 	g.logChanges()
-	if changed {
+	if g.addAbandoned(a.Blame) || changed {
 		g.gossip.Trigger()
 	}
 }
--- a/io/gate/crashparts_test.go
+++ b/io/gate/crashparts_test.go
@@ -120,3 +120,30 @@
 		})
 	}
 }
+
+// TestCrashSeenByOtherEntry guards against prompts that are never suspect since only other entries see the crashes under them.
+func TestCrashSeenByOtherEntry(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.Put("op/config", config(1, 3000))
+	fleet := &crashFleet{stage: simop.InsideBody, after: 2 * time.Second, back: crashBack, events: 60}
+	fleet.run(t, store, decodeEngines, crashPart)
+	gates := startProcesses(t, buildBinary(t), store)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	load(t, gates[1:], 40*time.Millisecond, stop, &wait, func(i int) (string, []string) {
+		return "/model/x", []string{"aa", fmt.Sprintf("50%d", rand.N(40))}
+	}, func(int, int) {})
+	time.Sleep(2 * time.Second) // Most sound parts have been answered.
+	loadFor(t, 1500*time.Millisecond, gates[:1], 1500*time.Millisecond, stop, &wait, func(i int) (string, []string) {
+		return "/fixed/x", []string{"aa", fmt.Sprintf("60%d", i), crashPart}
+	}, func(int, int) {})
+	time.Sleep(40 * time.Second)
+	close(stop)
+	wait.Wait()
+	crashes, late := fleet.tallies[crashPart].late()
+	t.Logf("%d crashes, %d prompts later than %v after the fifth", crashes, late, contactTime)
+	if late > allowedAfter {
+		t.Errorf("%d prompts reached engines later than %v after the fifth of %d crashes, want %d at most", late, contactTime, crashes, allowedAfter)
+	}
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -334,7 +334,7 @@
 		outcome = x.relay(ctx, u, resp)
 	}
 	if outcome == abandoned && x.sentAt != sentAt {
-		x.abandon(u, run)
+		x.abandon(run)
 	}
 	return outcome
 }
--- a/io/simop/crash.go
+++ b/io/simop/crash.go
@@ -38,10 +38,13 @@
 	r.crashes = crashes
 }
 
-// HasPart returns a function that matches prompts with a part.
-func HasPart(part string) func(req *http.Request, body string) bool {
+// HasPart returns a function that matches prompts with a part of the given id.
+func HasPart(id string) func(req *http.Request, body string) bool {
 	return func(req *http.Request, _ string) bool {
-		return strings.Contains(req.Header.Get("X-Prompt-Prefix"), part)
+		return slices.ContainsFunc(strings.Split(req.Header.Get("X-Prompt-Prefix"), ","), func(part string) bool {
+			name, _, _ := strings.Cut(part, ":")
+			return strings.TrimSpace(name) == id
+		})
 	}
 }
 
