--- a/core/blame/trial.go
+++ b/core/blame/trial.go
@@ -8,7 +8,7 @@
 const (
 	// trialPause is the time from a hold, or a trial, until the next trial of the same parts, so that the crashes count as two.
 	trialPause = 2 * minSpacing
-	// secondPause is the time from the first trial until the second one. An engine reads a long prompt of 37,000 tokens in 1.2 s.
+	// secondPause is the time from the first trial until the second one. The first one's engine may still read a long prompt before that.
 	secondPause = 1500 * time.Millisecond
 	// freeTrials is the number of trials that are made whatever they would show. Each later one must suffice to block the parts if
 	// it crashes an engine, or wait for laterPause, which doubles each time up to maxPause, since at most three requests may reach
--- a/io/gate/abandoned.go
+++ b/io/gate/abandoned.go
@@ -85,7 +85,7 @@
 }
 
 // addAbandoned adds the prompts that this entry has abandoned to the crashes that another one reports, and reports whether there were
-// any. An entry that has closed its only connection to an upstream doesn't see its crash.
+// any. An entry that has closed its last connection to an upstream doesn't see its crash.
 func (g *Gate) addAbandoned(r *blame.Report) bool {
 	g.mu.Lock()
 	hasNone := len(g.abandoned) == 0
--- a/io/gate/soakcrash_test.go
+++ b/io/gate/soakcrash_test.go
@@ -20,8 +20,8 @@
 	patience time.Duration // After which the callers of these prompts leave; 0 for never.
 }
 
-// seedCrashes returns the plan of a seed: none if it is even; otherwise its higher bits tell whether engines crash long after the first event, whether
-// three parts crash them, and whether the callers leave before a late crash.
+// seedCrashes returns the plan of a seed: none if it is even; otherwise its next three bits tell whether engines crash long after the
+// first event, whether three parts crash them, and whether the callers leave before a late crash.
 func seedCrashes(seed uint64) crashPlan {
 	const lateCrash, patience = 1500 * time.Millisecond, 1100 * time.Millisecond
 	var plan crashPlan
