--- a/review/rig2/leave.go
+++ b/review/rig2/leave.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -54,12 +55,12 @@
 }
 
 // startReplica starts an engine as a process of its own and lists it.
-func (r *rig) startReplica(id string) (*proc, *member, error) {
+func (r *rig) startReplica(id string, events int) (*proc, *member, error) {
 	a, err := freeAddrs(1)
 	if err != nil {
 		return nil, nil, err
 	}
-	p, err := r.start(id, nil, &lineNoter{r: r}, os.Args[0], "replica", "--id", id, "--listen", a[0].String())
+	p, err := r.start(id, nil, &lineNoter{r: r}, os.Args[0], "replica", "--id", id, "--listen", a[0].String(), "--events", strconv.Itoa(events))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -79,13 +80,29 @@
 
 // playLeave lets a replica state that it leaves and be gone some seconds later, as on spot machines. It had streams in progress.
 func playLeave(r *rig) (int, error) {
+	return r.playStreams(60, func(leaving *proc, listed *member) {
+		time.Sleep(600 * time.Millisecond)
+		listed.setState(r, "draining")
+		r.note("i-1 states in the list that it leaves")
+		time.Sleep(spotNotice)
+		if r.trouble {
+			listed.silence(r)
+			leaving.kill()
+			r.note("i-1 is gone")
+		}
+	})
+}
+
+// playStreams lets callers read streams of a number of events while one of the engines meets a disruption. Each stream must be whole
+// or seen to be broken off.
+func (r *rig) playStreams(events int, disrupt func(*proc, *member)) (int, error) {
 	r.store.Put("op/config", []byte(streamConfig))
-	leaving, listed, err := r.startReplica("i-1")
+	concerned, listed, err := r.startReplica("i-1", events)
 	if err != nil {
 		return notRun, err
 	}
 	for i := 2; i <= leaveEngines; i++ {
-		if _, _, err := r.startReplica(fmt.Sprintf("i-%d", i)); err != nil {
+		if _, _, err := r.startReplica(fmt.Sprintf("i-%d", i), events); err != nil {
 			return notRun, err
 		}
 	}
@@ -102,21 +119,13 @@
 			path = "/match/x"
 		}
 		wait.Go(func() {
-			outcome := r.callStream(g, path, fmt.Sprintf("a%d", i))
+			outcome := r.callStream(g, path, fmt.Sprintf("a%d", i), events)
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes[outcome]++
 		})
 	}
-	time.Sleep(600 * time.Millisecond)
-	listed.setState(r, "draining")
-	r.note("i-1 states in the list that it leaves")
-	time.Sleep(spotNotice)
-	if r.trouble {
-		listed.silence(r)
-		leaving.kill()
-		r.note("i-1 is gone")
-	}
+	disrupt(concerned, listed)
 	wait.Wait()
 	r.note("outcomes %v", outcomes)
 	switch {
@@ -139,7 +148,7 @@
 )
 
 // callStream sends a request for a stream and returns what came.
-func (r *rig) callStream(g *gate, path, id string) string {
+func (r *rig) callStream(g *gate, path, id string, want int) string {
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.listen.String()+path, strings.NewReader("{}"))
 	if err != nil {
 		return foreign
@@ -165,12 +174,12 @@
 	events, err := countEvents(resp.Body, id)
 	outcome := whole
 	switch {
-	case errors.Is(err, io.EOF) && events < streamEvents:
+	case errors.Is(err, io.EOF) && events < want:
 		outcome = truncated
 	case !errors.Is(err, io.EOF):
 		outcome = brokenOff
 	}
-	r.note("%s got status 200 with the seal, %d of %d events, end of body: %v: %s", id, events, streamEvents, err, outcome)
+	r.note("%s got status 200 with the seal, %d of %d events, end of body: %v: %s", id, events, want, err, outcome)
 	return outcome
 }
 
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 func main() {
 	cases := map[string]func(*rig) (int, error){
 		"leave": playLeave,
+		"lapse": playLapse,
 	}
 	if len(os.Args) >= 2 && os.Args[1] == "replica" {
 		if err := runReplica(os.Args[2:]); err != nil {
--- a/review/rig2/replica.go
+++ b/review/rig2/replica.go
@@ -14,16 +14,14 @@
 	"time"
 )
 
-const (
-	streamEvents = 60
-	eventPause   = 80 * time.Millisecond
-)
+const eventPause = 80 * time.Millisecond // Between two events of a stream.
 
 // runReplica runs a sound engine of role decode. Its streams have no length and end with their connections, as the pages allow.
 func runReplica(args []string) error {
 	flags := flag.NewFlagSet("replica", flag.ContinueOnError)
 	id := flags.String("id", "", "id")
 	addr := flags.String("listen", "", "address")
+	events := flags.Int("events", 1, "events of a stream")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -34,7 +32,7 @@
 		_, _ = io.WriteString(w, `{"stage":"decode","models":[],"busy":false,"sequence":0,"waiting":0,"running":0,"kvUsed":0,"kvTotal":400000,"kvHandles":0}`)
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, req *http.Request) {
-		if err := serveStream(w, req, *id); err != nil {
+		if err := serveStream(w, req, *id, *events); err != nil {
 			fmt.Fprintf(os.Stderr, "%s broke off %s: %v\n", *id, req.Header.Get("X-Attempt-Id"), err)
 		}
 	})
@@ -46,7 +44,7 @@
 }
 
 // serveStream answers a request with a stream without a length.
-func serveStream(w http.ResponseWriter, req *http.Request, id string) error {
+func serveStream(w http.ResponseWriter, req *http.Request, id string, events int) error {
 	attempt := req.Header.Get("X-Attempt-Id")
 	if target := req.Header.Get("X-Target-Instance"); target != "" && target != id || req.Header.Get("X-Stage") == "prefill" {
 		w.Header().Set("X-Attempt-Id", attempt)
@@ -70,7 +68,7 @@
 	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Response-Seal: %s.%s\r\nConnection: close\r\n\r\n", attempt, id, attempt); err != nil {
 		return err
 	}
-	for i := first; i <= streamEvents; i++ {
+	for i := first; i <= events; i++ {
 		if _, err := fmt.Fprintf(conn, "id: %d\ndata: %s %d\n\n", i, attempt, i); err != nil {
 			return err
 		}
