--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,8 +19,9 @@
 
 func main() {
 	cases := map[string]func(*rig) (int, error){
-		"leave": playLeave,
-		"lapse": playLapse,
+		"leave":   playLeave,
+		"lapse":   playLapse,
+		"encoded": playEncoded,
 	}
 	if len(os.Args) >= 2 && os.Args[1] == "replica" {
 		if err := runReplica(os.Args[2:]); err != nil {
