--- a/review/rig2/encoded.go
+++ b/review/rig2/encoded.go
@@ -151,6 +151,7 @@
 	req.Host = "a.example"
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Remaining-Ms", "1000")
+	r.note("%s sent to %s", id, path)
 	resp, err := client.Do(req)
 	if err != nil {
 		r.note("%s got no answer: %v", id, err)
@@ -168,9 +169,9 @@
 	case isSuccess && string(data) != plainBody(id):
 		outcome = truncated
 	case isSuccess:
-		return whole
+		outcome = whole
 	}
-	r.note("%s to %s got status %d, seal %q, encoding %q, %d bytes beginning with %.12q, %v: %s", id, path, resp.StatusCode,
+	r.note("%s at %s got status %d, seal %q, encoding %q, %d bytes beginning with %.12q, %v: %s", id, path, resp.StatusCode,
 		resp.Header.Get("X-Response-Seal"), encoding, len(data), data, err, outcome)
 	return outcome
 }
