gate: what an upstream has stated proves no end of an answer

Cause: alive.Tracker took three things that are known of a run (a statement, an alert, a removal from the list before the last bytes) in place of a look at whether its process was alive after the end, at four places of Decide. A statement says that a stop is planned, not that it is over, and a registration lapses while a run goes on.

Change: nothing but an answer to a request that was sent after the end, or a rest of a stream from another upstream, proves an end. A leaving upstream goes on serving until it exits, and its health check answers (though not with 200) and names it, so it is asked like any other, without the millisecond that gathers ends, since it may exit soon. Verdict "left" and the wait of 20 ms for a statement are gone; what isn't proved is resumed, repeated or broken off as for any other upstream.

--- a/core/alive/tracker.go
+++ b/core/alive/tracker.go
@@ -21,9 +21,6 @@
 	// listTime is the wait for the list to show another run, where an answer under the same id may be that of one that was started
 	// at once. An entry reads the list every 350 ms at most.
 	listTime = 500 * time.Millisecond
-	// announceTime is the wait for the statement of an upstream that it leaves, if it is gone when it is checked. The statement
-	// may travel by way of the list or another entry.
-	announceTime = 20 * time.Millisecond
 )
 
 // Answer is what the answer to a request shows of the process that sent it.
@@ -46,9 +43,9 @@
 type Run interface {
 	// ID returns the id of the upstream.
 	ID() string
-	// HasLeft reports whether the run has stated that it leaves, or was removed as planned before the given time. The registration
-	// of a process that is paused expires as well, so this is a time at which the process ran.
-	HasLeft(before time.Time) bool
+	// IsLeaving reports whether the run may exit right after its last response: it has stated that it leaves, or its registration
+	// is gone. That says nothing of whether a response is complete, since such a run can be killed as well.
+	IsLeaving() bool
 	// IsCurrent reports whether no other run of the upstream is known.
 	IsCurrent() bool
 	// Check sends a health check to the upstream's address, on a connection that was opened earlier if there is one.
@@ -61,14 +58,13 @@
 // The verdicts on a run.
 const (
 	Alive    Verdict = "alive"    // It was alive after the end.
-	Left     Verdict = "left"     // It has stated that it leaves.
 	Ended    Verdict = "ended"    // Its process has ended, or another one answers in its place.
 	Unproven Verdict = "unproven" // Neither is known.
 )
 
 // IsComplete reports whether a response that ended with its connection counts as complete.
 func (v Verdict) IsComplete() bool {
-	return v == Alive || v == Left
+	return v == Alive
 }
 
 // Tracker collects the evidence that one run of an upstream is alive.
@@ -103,12 +99,9 @@
 	}
 }
 
-// Decide returns what is known of the run one of whose responses has ended. It makes a check only if nothing else
-// shows it.
+// Decide returns what is known of the run one of whose responses has ended. It makes a check only if no other answer
+// shows it. Nothing that the run has stated before counts.
 func (t *Tracker) Decide(ctx context.Context, end End) Verdict {
-	if t.run.HasLeft(end.Received) {
-		return Left
-	}
 	hasFailed := false
 	// A check that others share may begin only after another one has timed out.
 	checkCtx, cancel := context.WithDeadline(ctx, end.Noticed.Add(checkTimeout))
@@ -119,22 +112,18 @@
 		}
 		a, err := t.check(checkCtx, end)
 		switch {
-		case t.run.HasLeft(end.Received):
-			return Left
 		case err == nil && t.isOther(a):
-			return t.awaitStatement(ctx, end, Ended)
+			return Ended
 		case err == nil && isSameProcess(a, end):
 			return Alive
 		case err == nil && time.Since(end.NotBefore) < restartTime:
-			return t.decideNew(ctx, end, a.HasLost || hasFailed)
-		case err == nil || time.Since(end.Noticed) >= checkTimeout:
-			return t.awaitStatement(ctx, end, Unproven)
-		case ctx.Err() != nil:
+			return t.decideNew(ctx, a.HasLost || hasFailed)
+		case err == nil || time.Since(end.Noticed) >= checkTimeout || ctx.Err() != nil:
 			return Unproven
 		}
 		hasFailed = true
 	}
-	return t.awaitStatement(ctx, end, Unproven)
+	return Unproven
 }
 
 // isOther reports whether an answer shows that the process has ended.
@@ -151,14 +140,11 @@
 
 // decideNew judges an answer under the run's id on a new connection, soon after the end. If an older connection was lost with the
 // response, the process may have been started anew.
-func (t *Tracker) decideNew(ctx context.Context, end End, isDoubtful bool) Verdict {
+func (t *Tracker) decideNew(ctx context.Context, isDoubtful bool) Verdict {
 	if isDoubtful {
 		wait(ctx, listTime)
 	}
-	switch {
-	case t.run.HasLeft(end.Received):
-		return Left
-	case ctx.Err() == nil && t.run.IsCurrent():
+	if ctx.Err() == nil && t.run.IsCurrent() {
 		return Alive
 	}
 	return Unproven
@@ -174,15 +160,6 @@
 	}
 }
 
-// awaitStatement returns Left if the run states soon that it leaves, otherwise v.
-func (t *Tracker) awaitStatement(ctx context.Context, end End, v Verdict) Verdict {
-	wait(ctx, announceTime)
-	if t.run.HasLeft(end.Received) {
-		return Left
-	}
-	return v
-}
-
 // check returns the answer to a request that was sent after the end: one that is known, or that of a check.
 func (t *Tracker) check(ctx context.Context, end End) (Answer, error) {
 	t.mu.Lock()
@@ -209,7 +186,8 @@
 }
 
 // perform makes a check, unless an answer to another request shows enough by then. It waits for the check in progress, which
-// says nothing of the ends since it was sent, and does not depend on the requests that wait for it.
+// says nothing of the ends since it was sent, and does not depend on the requests that wait for it. A run that leaves is checked
+// without delay, since its process may end within a millisecond.
 func (t *Tracker) perform(r *round) {
 	defer close(r.done)
 	t.mu.Lock()
@@ -219,7 +197,9 @@
 	if previous != nil {
 		<-previous.done
 	}
-	time.Sleep(gatherTime)
+	if !t.run.IsLeaving() {
+		time.Sleep(gatherTime)
+	}
 	t.mu.Lock()
 	t.next = nil
 	r.answer = t.evidence
--- a/core/member/set.go
+++ b/core/member/set.go
@@ -104,7 +104,6 @@
 	upstream *Upstream
 	era      int64
 	at       time.Time
-	lapsed   bool // The registration may have expired in an outage of the list.
 }
 
 // New returns an empty Set.
@@ -150,22 +149,19 @@
 	if d, ok := s.departures[u.ID]; ok && d.upstream.SameRun(u) && d.upstream.State == Draining {
 		return // The first departure of the run counts, in the era in which it was stated.
 	}
-	s.departures[u.ID] = departure{upstream: u, era: stamp.Era(revision), at: time.Now(), lapsed: u.State != Draining && s.hadRecentOutage()}
+	s.departures[u.ID] = departure{upstream: u, era: stamp.Era(revision), at: time.Now()}
 }
 
-// HasLeft reports whether a run has stated within departureMemory that it leaves, or was removed from the list before the given
-// time and has not come back. A later removal may follow a crash.
-func (s *Set) HasLeft(u *Upstream, before time.Time) bool {
+// HasLeft reports whether a run has stated within departureMemory that it leaves, or was removed from the list and has not come
+// back. Both may precede a crash, and a registration may lapse while its run goes on.
+func (s *Set) HasLeft(u *Upstream) bool {
 	d, ok := s.departures[u.ID]
 	if !ok || !d.upstream.SameRun(u) || time.Since(d.at) >= departureMemory {
 		return false
 	}
-	if d.upstream.State == Draining {
-		return true
-	}
 	r, listed := s.records[u.ID]
 	isBack := listed && r.expires.IsZero() && r.upstream.SameRun(u)
-	return !d.lapsed && !isBack && d.at.Before(before)
+	return d.upstream.State == Draining || !isBack
 }
 
 // advance records the revision of an id's change and reports whether it is newer than the known one.
--- a/io/gate/ending.go
+++ b/io/gate/ending.go
@@ -35,12 +35,11 @@
 	return r.info.ID
 }
 
-// HasLeft reports whether the run has stated that it leaves, in an answer, in the list or to another entry, or was removed from
-// the list before the given time.
-func (r listedRun) HasLeft(before time.Time) bool {
+// IsLeaving reports whether the run has stated that it leaves, in an answer, in the list or to another entry, or is no longer listed.
+func (r listedRun) IsLeaving() bool {
 	r.gate.mu.Lock()
 	defer r.gate.mu.Unlock()
-	return r.gate.leaving.Has(runOf(r.info)) || r.gate.memberSet.HasLeft(r.info, before)
+	return r.gate.leaving.Has(runOf(r.info)) || r.gate.memberSet.HasLeft(r.info)
 }
 
 // IsCurrent reports whether the list has no other run under the id.
