agent: an answer without a length isn't whole if its upstream has ended

On the product's own interface callers of services got half of an answer as complete (status 200) if the service's process was killed in the middle of one without a length: the agent took the end of the connection for the end of the answer, for repeatable calls and for those that run once, where the half was also stored under its key.

Change: such an end counts only if the upstream still listens, now and 20 ms later (the check that the agent makes for crashes). The call fails otherwise, or is unknown if it must run once. Left: a service that is started again within 20 ms, and a sound one that exits within this time of its last answer of this form, whose caller gets an error.

Before: TestUnframedAnswers failed with "half" and status 200 for both kinds of calls; after: passes, with the sound answers whole.

--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -254,7 +254,7 @@
 		return
 	}
 	k.outbox.setHead(answer.StatusCode, answer.Header.Get("Content-Type"))
-	k.copyBody(answer.Body, ticket)
+	k.copyBody(answer, ticket)
 }
 
 // recordHealth reports the result of a call to the circuit breaker. A call that is cancelled after twice its
@@ -273,11 +273,11 @@
 }
 
 // copyBody copies the upstream's answer to the outbox; its first bytes end the prefill.
-func (k *call) copyBody(body io.Reader, ticket *admit.Ticket) {
+func (k *call) copyBody(answer *http.Response, ticket *admit.Ticket) {
 	buffer := make([]byte, readBufferSize)
 	first := true
 	for {
-		n, err := body.Read(buffer)
+		n, err := answer.Body.Read(buffer)
 		if n > 0 && first {
 			first = false
 			k.agent.queue.FinishPrefill(ticket)
@@ -286,6 +286,9 @@
 			k.fail(fault.Failed, "cancelled", 0)
 			return
 		}
+		if err == io.EOF && k.agent.isCut(answer) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			k.agent.events.Add("answered", k.run.ID, k.agent.settings.Name, "")
 			k.agent.log.Info("answered", "request", k.run.ID, "attempt", k.run.Attempt, "caller", k.run.Caller)
--- a/io/agent/crash.go
+++ b/io/agent/crash.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net/http"
 	"time"
 
 	"pimentoseam/io/socket"
@@ -36,3 +37,10 @@
 	}
 	return a.crashedAt
 }
+
+// isCut reports whether an answer that has ended may lack its rest: nothing but the end of its connection ended it, and the upstream
+// doesn't listen any more. Connections of a process that is killed end like those of one that has finished.
+func (a *Agent) isCut(answer *http.Response) bool {
+	endsWithConnection := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && !answer.Uncompressed
+	return endsWithConnection && a.isDown()
+}
--- a/io/agent/nonrepeatable.go
+++ b/io/agent/nonrepeatable.go
@@ -101,7 +101,7 @@
 // storeAnswer reads the whole answer, so that it can be sent again for the same key.
 func (k *call) storeAnswer(answer *http.Response) {
 	body, err := limit.ReadAll(answer.Body, maxStoredAnswer)
-	if err != nil {
+	if err != nil || k.agent.isCut(answer) {
 		k.agent.table.MarkUnknown(k.run.Key)
 		k.failAfterCrash(fault.Unknown, "the answer ended early or is too large", 0, k.crashedAt())
 		return
