blame: hold on possible crashes, and end the trials of a part by count

Change: (1) a connection that an engine closes without being seen to have ended, or an engine that goes silent, is a possible crash: holds count it at once, blocks and decisive trials only once the next run shows it. Entries tell each other in optional fields, older ones ignore them. A breakage of a leaving upstream is one as well. Breakages of one run are one crash when they are confirmed, with the requests that were given up meanwhile. (2) Once the parts of a hold were at five crashes, two trials more are made by all entries together, then none for five minutes; entries that start learn of the earlier trials. Crashes of others no longer end such a hold, and it takes two answers. (3) An answer that ended a hold is told for ten seconds. On the own interface the agent states attempts that were broken off in an optional field.

--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -25,6 +25,9 @@
 	// maxFreeCrashes is the number of crashes without a held part, more than those with it, after which the hold ends: other
 	// causes crash the engines.
 	maxFreeCrashes = 3
+	// minAnswers is the number of answers that end a hold whose parts were at minOther crashes, which crashes of others don't end. Prompts
+	// that crash engines may be answered now and then.
+	minAnswers = 2
 	// holdTTL is how long a part is held at most; the crashes that caused the hold count as long.
 	holdTTL = evidenceTTL
 	// liftedTTL is how long a hold that was lifted is remembered, so that it doesn't return at once. After minRepeated more crashes
@@ -44,8 +47,12 @@
 	before   traffic      // Of this entry until then.
 	sent     map[Part]int // Of the parts, by this entry until then.
 	trials   int
+	late     int       // Trials that began after minOther crashes; see maxLateTrials.
+	isOften  bool      // Its parts were at minOther crashes or possible ones.
 	last     time.Time // Of the trials.
 	lifted   time.Time // Zero while it is in force.
+	answers  int       // To prompts with the parts since it began, minSpacing apart.
+	answered time.Time // The last one of them.
 	judged   time.Time // When isDecisive was found out last.
 	decisive bool
 }
@@ -109,10 +116,11 @@
 		}
 	}
 	for _, h := range l.holds {
+		h.isOften = h.isOften || l.numWith(h.parts) >= minOther
 		var with, without moments
 		for i, c := range s.crashes {
 			switch {
-			case !h.covers(c.at) || len(s.explained[i]) > 0:
+			case c.isUnsure || !h.covers(c.at) || len(s.explained[i]) > 0:
 			case c.has(h.parts):
 				with.add(c.at)
 			case l.isDueToOthers(c, h):
@@ -120,7 +128,7 @@
 				without.add(c.at)
 			}
 		}
-		if without.n >= with.n+maxFreeCrashes {
+		if without.n >= with.n+maxFreeCrashes && !h.isOften {
 			l.noteEnd(h, ByOthers)
 			h.lift()
 		}
@@ -212,7 +220,7 @@
 		}
 		l.noteEnd(h, ByNarrower)
 		added.began, added.before, added.sent = h.began, h.before, h.sent
-		added.trials, added.last, added.lifted = h.trials, h.last, h.lifted
+		added.trials, added.late, added.isOften, added.last, added.lifted = h.trials, h.late, h.isOften, h.last, h.lifted
 		return true
 	})
 	if len(l.holds) >= maxHolds {
@@ -277,29 +285,44 @@
 	l.holds = slices.DeleteFunc(l.holds, func(h *hold) bool {
 		return time.Since(h.began) >= holdTTL || (!h.lifted.IsZero() && time.Since(h.lifted) >= liftedTTL)
 	})
-	maps.DeleteFunc(l.trials, func(_ uint64, t *trial) bool { return time.Since(t.at) >= trialTTL })
+	maps.DeleteFunc(l.released, func(_ Part, at time.Time) bool { return time.Since(at) >= reportTTL })
+	maps.DeleteFunc(l.trials, func(_ uint64, t *trial) bool { return !l.isKept(t) })
 }
 
-// dropAnsweredHolds ends the holds whose parts have been answered since.
+// dropAnsweredHolds ends the holds whose parts have been answered since, often enough.
 func (l *Ledger) dropAnsweredHolds() {
 	l.holds = slices.DeleteFunc(l.holds, func(h *hold) bool {
-		if !l.isAnswered(h.parts, h.began) {
+		if l.isAnswered(h.parts, latest(h.began, h.answered.Add(minSpacing))) {
+			h.answers++
+			h.answered = l.answeredAt(h.parts)
+		}
+		if h.answers == 0 || (h.answers < minAnswers && h.isOften) {
 			return false
 		}
 		l.noteEnd(h, ByAnswer)
+		for _, p := range h.parts {
+			l.released[p] = time.Now()
+		}
 		return true
 	})
 }
 
+// answeredAt returns when the part whose last answer is the oldest was answered last.
+func (l *Ledger) answeredAt(parts []Part) time.Time {
+	var oldest time.Time
+	for _, p := range parts {
+		if at, _ := l.answers.last(p); oldest.IsZero() || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
 // decide blocks what the evidence suffices for, holds what is suspect, and returns the new blocks.
 func (l *Ledger) decide() []Block {
 	l.decided, l.hasLateNews = time.Now(), false
-	s := l.scene()
+	s := l.scene(true)
 	list := l.judge(s)
-	l.suspected = make(map[Part]int)
-	for _, e := range list {
-		l.suspected[e.part] = e.runs
-	}
 	var added []Block
 	for _, e := range list {
 		if l.isConvicted(e, s) && l.addBlock(e.common, time.Now()) {
@@ -313,9 +336,17 @@
 		l.noteEnd(h, ByBlock)
 		return true
 	})
+	if l.numUnsure() > 0 {
+		s = l.scene(false)
+		list = l.judge(s)
+	}
 	for i, c := range s.crashes {
 		s.explained[i] = l.explaining(c) // New blocks explain crashes as the holds before them did.
 	}
+	l.suspected = make(map[Part]int)
+	for _, e := range list {
+		l.suspected[e.part] = e.runs
+	}
 	l.dropRefutedLifts()
 	l.holdSuspects(list, s)
 	return added
@@ -348,3 +379,11 @@
 	}
 	return l.decide()
 }
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/blame/hold_test.go
+++ b/core/blame/hold_test.go
@@ -1,6 +1,7 @@
 package blame_test
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -21,11 +22,34 @@
 	entries     int
 	cut         int  // Sound prompts that each crash cuts off, one if it isn't set.
 	wasAnswered bool // The part did no harm before.
+
+	length   time.Duration // Half a minute if it isn't set.
+	seen     seen          // How crashes show; by refused connections if it isn't set.
+	back     time.Duration // Time until a crashed engine is back, which shows each crash; 3 s if it isn't set.
+	harmless time.Duration // For so long, prompts with the part are answered.
+	answered int           // One in that many prompts with the part is answered; 0 for none.
+	ordinary time.Duration // Between crashes of other causes; 0 for none.
+	seed     uint64        // Engines and crashes of other causes are random if it is set.
 }
 
+// maxLateArrivals is the number of prompts with a part that crashes engines that may reach engines later than three seconds after the
+// fifth crash.
+const maxLateArrivals = 3
+
+// seen is how entries learn of a crash.
+type seen string
+
+// The ways.
+const (
+	refused seen = ""       // At once, since the engine's address refuses connections.
+	closed  seen = "closed" // It closes connections, and its next run registers later.
+	silent  seen = "silent" // Its next run registers.
+)
+
 // run is what happens at a site.
 type run struct {
 	*site
+	began   time.Time
 	ledgers []*blame.Ledger
 	down    []time.Time // Until when each engine is down.
 	due     []attempt   // Prompts with the part at engines.
@@ -34,6 +58,16 @@
 	blocked time.Duration // Time until the part was blocked; 0 for never.
 	late    int           // Prompts with the part that reached engines later than three seconds after the fifth crash.
 	refused int           // Sound prompts that reached no engine later than six seconds after it.
+	random  *rand.Rand
+	reports []dueReport
+	others  int // Crashes of other causes.
+}
+
+// dueReport is what an entry learns at a time.
+type dueReport struct {
+	at     time.Time
+	ledger *blame.Ledger
+	report *blame.Report
 }
 
 // attempt is a prompt with the part at an engine.
@@ -75,8 +109,12 @@
 			return
 		}
 	}
+	first := n
+	if r.random != nil {
+		first = r.random.IntN(r.engines)
+	}
 	for i := range r.engines {
-		at := (n + i) % r.engines
+		at := (first + i) % r.engines
 		if time.Now().Before(r.down[at]) {
 			continue
 		}
@@ -85,7 +123,11 @@
 			l.Answered(parts)
 			return
 		}
-		r.due = append(r.due, attempt{at: time.Now().Add(r.read), n: n, left: left - 1, engine: at, trial: isTrial})
+		if time.Since(r.began) < r.harmless || r.answered > 0 && r.random.IntN(r.answered) == 0 {
+			l.Answered(parts)
+		} else {
+			r.due = append(r.due, attempt{at: time.Now().Add(r.read), n: n, left: left - 1, engine: at, trial: isTrial})
+		}
 		if !r.fifth.IsZero() && time.Since(r.fifth) > 3*time.Second {
 			r.late++
 		}
@@ -100,7 +142,7 @@
 func (r *run) crash(a attempt) {
 	l := r.ledgers[a.n%r.entries]
 	if time.Now().After(r.down[a.engine]) {
-		r.down[a.engine] = time.Now().Add(3 * time.Second)
+		r.down[a.engine] = time.Now().Add(r.back)
 		r.crashes++
 		if r.crashes == 5 {
 			r.fifth = time.Now()
@@ -111,17 +153,54 @@
 			l.Sent(cut)
 			sets = append(sets, cut)
 		}
-		l.Merge(crash(r.crashes, false, sets...))
-		r.share()
+		r.learn(l, crash(r.crashes, false, sets...))
 	}
 	if a.left > 0 && !a.trial {
 		r.send(a.n, a.left, true)
 	}
 }
 
-// play plays half a minute.
+// learn has an entry learn of a crash in the way of the site.
+func (r *run) learn(l *blame.Ledger, report *blame.Report) {
+	later := dueReport{at: time.Now().Add(r.back), ledger: l, report: report}
+	switch r.seen {
+	case refused:
+		l.Merge(report)
+	case closed:
+		l.Merge(&blame.Report{Unsure: report.Crashes})
+		r.reports = append(r.reports, later)
+	case silent:
+		r.reports = append(r.reports, later)
+	}
+	r.share()
+}
+
+// crashOther ends an engine for another cause, with sound prompts that are there.
+func (r *run) crashOther() {
+	r.others++
+	at := r.random.IntN(r.engines)
+	if time.Now().Before(r.down[at]) {
+		return
+	}
+	r.down[at] = time.Now().Add(r.back)
+	l := r.ledgers[r.random.IntN(r.entries)]
+	var sets [][]blame.Part
+	for i := range 1 + r.random.IntN(4) {
+		cut := []blame.Part{system, other, blame.Part(3_000_000 + 10*r.others + i)}
+		l.Sent(cut)
+		sets = append(sets, cut)
+	}
+	r.learn(l, crash(10_000+r.others, false, sets...))
+}
+
+// play plays half a minute, or the length of the site.
 func (r *run) play() {
+	r.length, r.back = cmp.Or(r.length, 30*time.Second), cmp.Or(r.back, 3*time.Second)
+	if r.seed > 0 {
+		r.random = rand.New(rand.NewPCG(r.seed, 6))
+	}
 	began := time.Now()
+	r.began = began
 	for i := range 100 * r.entries {
 		answer(r.ledgers[i%r.entries], []blame.Part{system, other})
 		if r.wasAnswered {
@@ -129,8 +208,18 @@
 		}
 	}
 	next, told := 0, time.Now()
-	for time.Since(began) < 30*time.Second {
+	for time.Since(began) < r.length {
 		time.Sleep(10 * time.Millisecond)
+		if r.ordinary > 0 && time.Since(began) > time.Duration(r.others+1)*r.ordinary {
+			r.crashOther()
+		}
+		for len(r.reports) > 0 && !time.Now().Before(r.reports[0].at) {
+			first := r.reports[0]
+			r.reports = r.reports[1:]
+			ageCrashes(first.report, r.back)
+			first.ledger.Merge(first.report)
+			r.share()
+		}
 		if time.Since(began) >= time.Duration(next)*r.gap {
 			r.send(next, r.attempts, next%r.every == 0)
 			next++
@@ -176,16 +265,11 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := &run{site: &test, down: make([]time.Time, test.engines)}
-				for range test.entries {
-					l := blame.New()
-					l.SetEntries(test.entries)
-					r.ledgers = append(r.ledgers, l)
-				}
+				r := newRun(&test)
 				r.play()
 				t.Logf("%d crashes, blocked after %v, %d late, %d sound ones refused", r.crashes, r.blocked, r.late, r.refused)
 				isKept := r.blocked > 0 || r.ledgers[0].Held([]blame.Part{system, bad})
-				if r.late > 3 || !isKept || r.refused > 0 {
+				if r.late > maxLateArrivals || !isKept || r.refused > 0 {
 					t.Error("want the part blocked or held, three late requests at most and no sound ones refused")
 				}
 				if isBlocked(r.ledgers[0], system, other) {
@@ -196,6 +280,90 @@
 	}
 }
 
+// ageCrashes sets how long ago the crashes of a report were.
+func ageCrashes(r *blame.Report, age time.Duration) {
+	for i := range r.Crashes {
+		r.Crashes[i].Age = uint32(age.Milliseconds())
+	}
+}
+
+// newRun returns a run at a site whose entries know nothing.
+func newRun(s *site) *run {
+	r := &run{site: s, down: make([]time.Time, s.engines)}
+	for range s.entries {
+		l := blame.New()
+		l.SetEntries(s.entries)
+		r.ledgers = append(r.ledgers, l)
+	}
+	return r
+}
+
+// TestArrivalsHoweverCrashesShow guards against more than three prompts with a part that reach engines after the fifth crash when
+// crashes aren't seen by refused connections, when the part was harmless before, and when engines crash for other causes or sound
+// requests are few.
+func TestArrivalsHoweverCrashesShow(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []site{
+		{name: "refused", engines: 6, every: 10, attempts: 2, gap: 60 * ms, entries: 2},
+		{name: "closed", engines: 6, every: 10, attempts: 2, gap: 60 * ms, entries: 2, seen: closed},
+		{name: "closed, back after 5 s", engines: 6, every: 10, attempts: 2, gap: 60 * ms, entries: 2, seen: closed, back: 5000 * ms},
+		{name: "closed, back after 12 s", engines: 9, every: 10, attempts: 2, gap: 60 * ms, entries: 2, seen: closed, back: 12000 * ms},
+		{name: "closed, long prompts", engines: 6, every: 30, attempts: 2, gap: 60 * ms, read: 1200 * ms, entries: 2, seen: closed},
+		{name: "closed, often", engines: 6, every: 4, attempts: 2, gap: 60 * ms, entries: 2, seen: closed, back: 5000 * ms},
+		{name: "closed, many cut off", engines: 6, every: 10, attempts: 2, gap: 60 * ms, entries: 2, cut: 4, seen: closed, back: 5000 * ms},
+		{name: "closed, answered before", engines: 6, every: 10, attempts: 2, gap: 60 * ms, entries: 2, seen: closed, back: 5000 * ms, wasAnswered: true},
+		{name: "silent", engines: 9, every: 10, attempts: 2, gap: 60 * ms, entries: 2, seen: silent},
+		{name: "harmless for 5 s", engines: 9, every: 3, attempts: 2, gap: 40 * ms, read: 60 * ms, entries: 4, harmless: 5000 * ms, ordinary: 1000 * ms},
+		{name: "few sound requests", engines: 9, every: 2, attempts: 2, gap: 180 * ms, read: 60 * ms, entries: 4, ordinary: 1000 * ms},
+		{name: "closed, few sound requests", engines: 9, every: 2, attempts: 2, gap: 180 * ms, read: 60 * ms, entries: 4, ordinary: 1000 * ms, seen: closed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			checkArrivals(t, test, 12)
+		})
+	}
+}
+
+// TestArrivalsOfSometimesAnsweredPart guards against the same when the part is answered now and then.
+func TestArrivalsOfSometimesAnsweredPart(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []site{
+		{name: "one in ten answered", engines: 9, every: 3, attempts: 2, gap: 40 * ms, read: 60 * ms, entries: 4, answered: 10, ordinary: 1000 * ms},
+		{name: "one in thirty answered", engines: 9, every: 3, attempts: 2, gap: 40 * ms, read: 60 * ms, entries: 4, answered: 30, ordinary: 1000 * ms},
+	} {
+		t.Run(test.name, func(t *testing.T) { checkArrivals(t, test, 40) })
+	}
+}
+
+// checkArrivals plays a site for a minute with each seed and checks that three prompts with the part at most reach engines later than
+// three seconds after the fifth crash, and that no sound part is blocked.
+func checkArrivals(t *testing.T, test site, seeds uint64) {
+	t.Helper()
+	failed, most, crashes, kept := 0, 0, 0, 0
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			s := test
+			s.length, s.seed = time.Minute, seed+1
+			r := newRun(&s)
+			r.play()
+			if r.late > maxLateArrivals {
+				failed++
+			}
+			most, crashes = max(most, r.late), max(crashes, r.crashes)
+			if r.blocked > 0 || r.ledgers[0].Held([]blame.Part{system, bad}) {
+				kept++
+			}
+			if isBlocked(r.ledgers[0], system, other) {
+				t.Errorf("seed %d: sound parts blocked: %v", seed, r.ledgers[0].Blocks())
+			}
+		})
+	}
+	t.Logf("%d late arrivals and %d crashes at most, kept out in the end with %d of %d seeds", most, crashes, kept, seeds)
+	if failed > 0 {
+		t.Errorf("%d of %d seeds with more than %d late arrivals", failed, seeds, maxLateArrivals)
+	}
+}
+
 // TestSoundPartHeld guards against a new part that was at some crashes by chance staying held or being blocked.
 func TestSoundPartHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/blame/keep.go
+++ b/core/blame/keep.go
@@ -9,25 +9,30 @@
 	"pimentoseam/core/leave"
 )
 
-// addCrash adds a crash, or what is new of a known one, and reports whether anything is new.
-func (l *Ledger) addCrash(c Crash) bool {
+// addCrash adds a crash or a possible one, or what is new of a known one, and reports whether anything is new.
+func (l *Ledger) addCrash(c Crash, isSure bool) bool {
 	at := timeOf(c.Age)
-	if time.Since(at) >= evidenceTTL {
+	if time.Since(at) >= evidenceTTL || (!isSure && time.Since(at) >= unsureTTL) {
 		return false
 	}
-	known := l.crashOf(c.Run, at)
+	known := l.crashOf(c.Run, at, isSure)
 	isNew := known == nil
 	if isNew {
 		if l.numAt(at) >= maxPerMoment {
 			return false
 		}
 		l.prune()
+		if !isSure && l.numUnsure() >= maxUnsure {
+			l.dropOldestCrash(true)
+		}
 		if len(l.crashes) >= maxCrashes {
-			l.dropOldestCrash()
+			l.dropOldestCrash(l.numUnsure() > 0)
 		}
-		known = &crash{at: at, before: l.traffic}
+		known = &crash{at: at, before: l.traffic, isUnsure: !isSure}
 		l.crashes[c.Run] = known
 	}
+	isConfirmed := isSure && known.isUnsure
+	known.isUnsure = known.isUnsure && !isSure
 	share := (maxCrashParts - known.size()) / max(1, min(len(c.Suspects), maxSuspects+maxLateSuspects))
 	var added []Suspect
 	for _, s := range c.Suspects {
@@ -37,10 +42,10 @@
 	}
 	slices.SortStableFunc(known.suspects, l.compareSuspects)
 	known.suspects = known.first(maxSuspects, maxLateSuspects)
-	changed := isNew || slices.ContainsFunc(added, func(s Suspect) bool { return known.indexOf(s) >= 0 })
+	changed := isNew || isConfirmed || slices.ContainsFunc(added, func(s Suspect) bool { return known.indexOf(s) >= 0 })
 	isFull := false
 	for l.size() > maxKeptParts && len(l.crashes) > 1 {
-		l.dropOldestCrash()
+		l.dropOldestCrash(false)
 		isFull = true
 	}
 	if isNew || isFull {
@@ -50,12 +55,12 @@
 }
 
 // crashOf returns the known crash of a run, nil for none. One of the same engine at nearly the same time is the same.
-func (l *Ledger) crashOf(run leave.Run, at time.Time) *crash {
+func (l *Ledger) crashOf(run leave.Run, at time.Time, isSure bool) *crash {
 	if known := l.crashes[run]; known != nil {
 		return known
 	}
 	for other, c := range l.crashes {
-		if other.Key == run.Key && c.at.Sub(at).Abs() < minRestart {
+		if other.Key == run.Key && c.at.Sub(at).Abs() < c.restart(isSure) {
 			return c
 		}
 	}
@@ -232,10 +237,29 @@
 	}
 }
 
-// dropOldestCrash makes room for another crash.
-func (l *Ledger) dropOldestCrash() {
+// restart returns the shortest time until another crash, or a possible one, of the same engine.
+func (c *crash) restart(isSure bool) time.Duration {
+	if c.isUnsure || !isSure {
+		return minUnsureRestart
+	}
+	return minRestart
+}
+
+// numUnsure returns the number of possible crashes.
+func (l *Ledger) numUnsure() int {
+	n := 0
+	for _, c := range l.crashes {
+		if c.isUnsure {
+			n++
+		}
+	}
+	return n
+}
+
+// dropOldestCrash makes room for another crash; one that is only possible goes first if isUnsure is set.
+func (l *Ledger) dropOldestCrash(isUnsure bool) {
 	runs := slices.SortedFunc(maps.Keys(l.crashes), func(a, b leave.Run) int {
-		return cmp.Or(l.crashes[a].at.Compare(l.crashes[b].at), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(compareFirst(isUnsure && l.crashes[a].isUnsure, isUnsure && l.crashes[b].isUnsure), l.crashes[a].at.Compare(l.crashes[b].at), cmp.Compare(a.Key, b.Key))
 	})
 	delete(l.crashes, runs[0])
 }
--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -26,17 +26,23 @@
 	// minRestart is the shortest time between two crashes of one engine. Entries name a run that they haven't heard of by the time
 	// of its crash, which differs a little from one to another.
 	minRestart = time.Second
+	// minUnsureRestart replaces it for possible crashes. Requests to an engine that has gone silent are given up over some seconds.
+	minUnsureRestart = 2500 * time.Millisecond
 	// evidenceTTL is how long a crash counts. A part that comes rarely crashes engines minutes apart.
 	evidenceTTL = 10 * time.Minute
 	// blockTTL is how long parts are blocked. After it, an engine may have been replaced by one that answers them; if not,
 	// they cost minBegun crashes again.
 	blockTTL = 30 * time.Minute
+	// unsureTTL is how long a possible crash counts. The registration of the next run, which shows that it was one, comes some seconds
+	// after it, and then each entry makes it a crash.
+	unsureTTL = 20 * time.Second
 	// reportTTL is how long a crash is reported to other entries. Alerts repeat it about twenty times meanwhile.
 	reportTTL = 10 * time.Second
 
 	// The limits of an entry's state, which then has about 3 MB besides the answers.
 	maxCrashes   = 64
 	maxPerMoment = 16 // Crashes at one moment; a loss of many engines must not displace the others.
+	maxUnsure    = 16 // Possible crashes; engines that break off answers must not displace crashes.
 	maxBlocks    = 64
 	maxSuspects  = 16 // Of a crash.
 	// maxLateSuspects limits the late ones beside them, so that a busy engine's others don't displace all of these.
@@ -68,10 +74,11 @@
 	turn        int          // Rises with each report.
 	holds       []*hold      // The oldest first.
 	trials      map[uint64]*trial
-	decided     time.Time    // When the evidence was judged last.
-	changes     []Change     // Not taken yet, the oldest first.
-	hasLateNews bool         // Late suspects were added since the evidence was judged.
-	suspected   map[Part]int // Crashes since their last answers of the parts that were at minSuspected or more, as judged last.
+	released    map[Part]time.Time // When the holds of parts ended that were answered, which is told for reportTTL.
+	decided     time.Time          // When the evidence was judged last.
+	changes     []Change           // Not taken yet, the oldest first.
+	hasLateNews bool               // Late suspects were added since the evidence was judged.
+	suspected   map[Part]int       // Crashes since their last answers of the parts that were at minSuspected or more, as judged last.
 }
 
 // traffic counts what this entry has sent to engines and got from them.
@@ -84,6 +91,7 @@
 	at       time.Time
 	before   traffic   // Of this entry until then.
 	suspects []Suspect // Those that were begun first.
+	isUnsure bool      // The engine has closed connections, but wasn't seen to have ended.
 }
 
 type block struct {
@@ -93,7 +101,7 @@
 
 // New returns an empty Ledger.
 func New() *Ledger {
-	return &Ledger{crashes: make(map[leave.Run]*crash), answers: newAnswerLog(), entries: 1, sent: make(map[Part]int), trials: make(map[uint64]*trial)}
+	return &Ledger{crashes: make(map[leave.Run]*crash), answers: newAnswerLog(), entries: 1, sent: make(map[Part]int), trials: make(map[uint64]*trial), released: make(map[Part]time.Time)}
 }
 
 // SetEntries sets the number of entries. The traffic of the others is estimated from that of this one.
@@ -194,13 +202,25 @@
 // Crashed records that a run of an engine has crashed at a time, and the requests of this entry that may have caused it. It returns
 // the blocks that follow.
 func (l *Ledger) Crashed(run leave.Run, at time.Time, suspects []Suspect) []Block {
+	return l.record(run, at, suspects, true)
+}
+
+// BrokenOff records that a run of an engine may have crashed at a time: it has closed connections in the middle of requests, but wasn't
+// seen to have ended. Parts can be held for that, but not blocked, unless Crashed tells the same later. It returns the blocks that
+// follow from what was known before.
+func (l *Ledger) BrokenOff(run leave.Run, at time.Time, suspects []Suspect) []Block {
+	return l.record(run, at, suspects, false)
+}
+
+// record adds a crash, or a possible one, that this entry has seen.
+func (l *Ledger) record(run leave.Run, at time.Time, suspects []Suspect, isSure bool) []Block {
 	l.mu.Lock()
-	if known := l.crashes[run]; known != nil && at.Sub(known.at) >= minRestart {
+	if known := l.crashes[run]; known != nil && at.Sub(known.at) >= known.restart(isSure) {
 		run.Started = at.UnixMilli() // It has started again since, which this entry hasn't heard of.
 	}
 	l.mu.Unlock()
 	r := &Report{}
-	r.add(Crash{Run: run, Age: ageOf(at), Suspects: suspects})
+	r.add(Crash{Run: run, Age: ageOf(at), Suspects: suspects}, isSure)
 	added, _ := l.Merge(r)
 	return added
 }
@@ -224,18 +244,23 @@
 		}
 	}
 	for _, c := range r.Crashes {
-		if l.addCrash(c) {
+		if l.addCrash(c, true) {
+			changed = true
+		}
+	}
+	for _, c := range r.Unsure {
+		if l.addCrash(c, false) {
 			changed = true
 		}
 	}
 	for _, c := range r.Late {
-		if l.addCrash(c.crash()) {
+		if l.addCrash(c.crash(), true) {
 			l.hasLateNews = true // Review judges it; it spreads with the regular reports.
 		}
 	}
-	for _, t := range r.Trials {
-		if l.mergeTrial(t) {
-			changed = true
+	for _, c := range r.UnsureLate {
+		if l.addCrash(c.crash(), false) {
+			l.hasLateNews = true
 		}
 	}
 	for _, h := range r.Holds {
@@ -243,6 +268,11 @@
 			changed = true
 		}
 	}
+	for _, t := range r.Trials { // Of these holds, too.
+		if l.mergeTrial(t, slices.Contains(r.LateTrials, t.ID)) {
+			changed = true
+		}
+	}
 	l.dropAnswered()
 	if !changed {
 		return added, false
@@ -344,7 +374,9 @@
 // expire drops crashes and blocks that no longer count.
 func (l *Ledger) expire() {
 	before := len(l.crashes)
-	maps.DeleteFunc(l.crashes, func(_ leave.Run, c *crash) bool { return time.Since(c.at) >= evidenceTTL })
+	maps.DeleteFunc(l.crashes, func(_ leave.Run, c *crash) bool {
+		return time.Since(c.at) >= evidenceTTL || (c.isUnsure && time.Since(c.at) >= unsureTTL)
+	})
 	if len(l.crashes) < before {
 		l.forgetSent()
 	}
--- a/core/blame/report.go
+++ b/core/blame/report.go
@@ -98,15 +98,19 @@
 	Holds   []Block     `cbor:"4,keyasint,omitempty"` // Sets of parts of which one prompt at a time may go to an engine.
 	Trials  []Trial     `cbor:"5,keyasint,omitempty"` // Recent runs of such prompts.
 	Late    []LateCrash `cbor:"6,keyasint,omitempty"` // Crashes with late suspects.
+
+	Unsure     []Crash     `cbor:"7,keyasint,omitempty"` // Possible crashes: engines closed connections and were not seen to have ended.
+	UnsureLate []LateCrash `cbor:"8,keyasint,omitempty"` // Those with late suspects.
+	LateTrials []uint64    `cbor:"9,keyasint,omitempty"` // Ids of those Trials that count as late; see maxLateTrials.
 }
 
 // IsEmpty reports whether r states nothing.
 func (r *Report) IsEmpty() bool {
-	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Blocks)+len(r.Holds)+len(r.Trials)+len(r.Late) == 0
+	return r == nil || len(r.Crashes)+len(r.Answers)+len(r.Blocks)+len(r.Holds)+len(r.Trials)+len(r.Late)+len(r.Unsure)+len(r.UnsureLate) == 0
 }
 
 // add adds a crash, with its late suspects apart. It has no entry without suspects, which older processes would take for news each time.
-func (r *Report) add(c Crash) {
+func (r *Report) add(c Crash, isSure bool) {
 	known, late := Crash{Run: c.Run, Age: c.Age}, LateCrash{Run: c.Run, Age: c.Age}
 	for _, s := range c.Suspects {
 		if s.isLate() {
@@ -115,11 +119,15 @@
 			known.Suspects = append(known.Suspects, s)
 		}
 	}
+	crashes, lateCrashes := &r.Crashes, &r.Late
+	if !isSure {
+		crashes, lateCrashes = &r.Unsure, &r.UnsureLate
+	}
 	if len(known.Suspects) > 0 {
-		r.Crashes = append(r.Crashes, known)
+		*crashes = append(*crashes, known)
 	}
 	if len(late.Suspects) > 0 {
-		r.Late = append(r.Late, late)
+		*lateCrashes = append(*lateCrashes, late)
 	}
 }
 
--- a/core/blame/scene.go
+++ b/core/blame/scene.go
@@ -23,10 +23,12 @@
 	order     []Part          // These parts, the last ones of the latest prompts first, so that all entries judge them in the same order.
 }
 
-// scene returns the crashes and the parts that were at minSuspected or more of them since their last answer.
-func (l *Ledger) scene() *scene {
+// scene returns the crashes, or only those that are sure, and the parts that were at minSuspected or more of them since their last
+// answer.
+func (l *Ledger) scene(onlySure bool) *scene {
 	s := &scene{spots: make(map[Part][]spot)}
 	s.crashes = slices.SortedFunc(maps.Values(l.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	s.crashes = slices.DeleteFunc(s.crashes, func(c *crash) bool { return onlySure && c.isUnsure })
 	counts := make(map[Part]count)
 	for i, c := range s.crashes {
 		s.explained = append(s.explained, l.explaining(c))
--- a/core/blame/tell.go
+++ b/core/blame/tell.go
@@ -15,7 +15,7 @@
 	defer l.mu.Unlock()
 	l.turn++
 	for _, c := range l.reportCrashes() {
-		r.add(c)
+		r.add(c.Crash, c.isSure)
 	}
 	r.Answers = l.reportAnswers()
 	for _, h := range l.holds {
@@ -25,6 +25,9 @@
 	}
 	for id, t := range l.trials {
 		r.Trials = append(r.Trials, Trial{ID: id, Parts: t.parts, Age: ageOf(t.at), Void: t.isVoid})
+		if t.isLate {
+			r.LateTrials = append(r.LateTrials, id)
+		}
 	}
 	if r.IsEmpty() {
 		return nil
@@ -32,9 +35,15 @@
 	return r
 }
 
+// reportedCrash is a crash for a report.
+type reportedCrash struct {
+	Crash
+	isSure bool
+}
+
 // reportCrashes returns the recent crashes, the newest first, with their most suspect requests. Of these it leaves out parts that
 // were answered since. If the others are too many for one report, it has another section of them each time.
-func (l *Ledger) reportCrashes() []Crash {
+func (l *Ledger) reportCrashes() []reportedCrash {
 	var runs []leave.Run
 	for run, c := range l.crashes {
 		if time.Since(c.at) < reportTTL {
@@ -45,11 +54,11 @@
 		return cmp.Or(l.crashes[b].at.Compare(l.crashes[a].at), cmp.Compare(a.Key, b.Key))
 	})
 	runs = runs[:min(len(runs), maxReported)]
-	var list []Crash
+	var list []reportedCrash
 	total := 0
 	for _, run := range runs {
 		c := l.crashes[run]
-		reported := Crash{Run: run, Age: ageOf(c.at)}
+		reported := reportedCrash{Crash: Crash{Run: run, Age: ageOf(c.at)}, isSure: !c.isUnsure}
 		for _, s := range c.first(maxReportSuspects, maxReportSuspects) {
 			reported.Suspects = append(reported.Suspects, Suspect{Begun: s.Begun, Parts: l.unclearedParts(c, s), After: s.After})
 			total += len(reported.Suspects[len(reported.Suspects)-1].Parts)
@@ -95,7 +104,8 @@
 	return append(list, parts[len(parts)-1])
 }
 
-// reportAnswers returns when parts that are suspect of recent crashes, held or blocked were answered last, the latter first.
+// reportAnswers returns when parts that are suspect of recent crashes, held, lately so, or blocked were answered last, the latter
+// first.
 func (l *Ledger) reportAnswers() []Answer {
 	var list []Answer
 	seen := make(map[Part]bool)
@@ -111,6 +121,9 @@
 	for p := range l.limited() {
 		add(p)
 	}
+	for p := range l.released {
+		add(p)
+	}
 	for _, c := range l.crashes { // In another order each time.
 		if time.Since(c.at) >= reportTTL {
 			continue
--- a/core/blame/trial.go
+++ b/core/blame/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -19,7 +20,11 @@
 	decisiveTrials = 1
 	laterPause     = 20 * time.Second
 	maxPause       = 2 * time.Minute
-	// trialTTL is how long a trial is known and reported.
+	// maxLateTrials is the number of trials that are begun once the parts were at minOther crashes, over all entries. If the parts are
+	// neither blocked nor answered by then, the next one waits for shutPause, whatever the evidence says.
+	maxLateTrials = 2
+	shutPause     = 5 * time.Minute
+	// trialTTL is how long a trial is known and reported at least; one of a hold in force that ran is for as long as the hold.
 	trialTTL = 10 * time.Second
 	// maxTrials limits the trials that are known. While no engine is up, many of them begin and don't run; those give way first.
 	maxTrials = 32
@@ -30,6 +35,7 @@
 	parts  []Part
 	at     time.Time
 	isVoid bool // It did not run.
+	isLate bool // The parts had been at minOther crashes.
 }
 
 // Begin begins a trial of a prompt with held parts and returns its id, or false if none may be made now. Other entries must be told
@@ -44,11 +50,14 @@
 	if h.trials > 0 && time.Since(h.last) < secondPause && !l.hasCrashed(h) {
 		return 0, false // The last trial may still be in progress.
 	}
+	if h.late >= maxLateTrials && time.Since(h.last) < shutPause {
+		return 0, false
+	}
 	if wait := h.pause() - time.Since(h.since()); wait > 0 && (h.trials < freeTrials || h.trials >= freeTrials+decisiveTrials || !l.isDecisive(h)) {
 		return 0, false
 	}
 	id := rand.Uint64()
-	return id, l.addTrial(id, h.parts, time.Now())
+	return id, l.addTrial(id, h.parts, time.Now(), l.numWith(h.parts) >= minOther)
 }
 
 // hasCrashed reports whether an engine has crashed under the held parts since the last trial.
@@ -95,6 +104,9 @@
 	for _, h := range l.holds {
 		if h.isTriedBy(t) && h.trials > 0 {
 			h.trials--
+			if t.isLate && h.late > 0 {
+				h.late--
+			}
 		}
 	}
 	return true
@@ -111,7 +123,7 @@
 		return h.decisive
 	}
 	h.judged, h.decisive = time.Now(), false
-	s := l.scene()
+	s := l.scene(true)
 	for _, e := range l.judge(s) {
 		if e.held == h && e.hasTrials(1) && (l.chance(e, s, onlySoon, 1) <= maxChance || (e.isLate && l.chance(e, s, withLate, 1) <= maxChance)) {
 			h.decisive = true
@@ -121,8 +133,8 @@
 }
 
 // mergeTrial adds what another entry reports of a trial and reports whether it is new.
-func (l *Ledger) mergeTrial(r Trial) bool {
-	changed := l.addTrial(r.ID, r.Parts, timeOf(r.Age))
+func (l *Ledger) mergeTrial(r Trial, isLate bool) bool {
+	changed := l.addTrial(r.ID, r.Parts, timeOf(r.Age), isLate)
 	if t := l.trials[r.ID]; t != nil && r.Void && l.voidTrial(t) {
 		changed = true
 	}
@@ -130,18 +142,23 @@
 }
 
 // addTrial records a trial of this or another entry and reports whether it is new.
-func (l *Ledger) addTrial(id uint64, parts []Part, at time.Time) bool {
-	if l.trials[id] != nil || len(parts) == 0 || len(parts) > maxBlockParts || time.Since(at) >= trialTTL {
+func (l *Ledger) addTrial(id uint64, parts []Part, at time.Time, isLate bool) bool {
+	t := &trial{parts: parts, at: at}
+	if l.trials[id] != nil || len(parts) == 0 || len(parts) > maxBlockParts || !l.isKept(t) {
 		return false
 	}
 	if len(l.trials) >= maxTrials && !l.dropVoidTrial() {
 		return false
 	}
-	t := &trial{parts: parts, at: at}
+	t.isLate = isLate
 	l.trials[id] = t
 	for _, h := range l.holds {
 		if h.isTriedBy(t) {
 			h.trials++
+			if isLate {
+				h.late++
+				h.isOften = true
+			}
 			if at.After(h.last) {
 				h.last = at
 			}
@@ -150,6 +167,13 @@
 	return true
 }
 
+// isKept reports whether a trial is recent or one of a hold in force, whose trials all count.
+func (l *Ledger) isKept(t *trial) bool {
+	return time.Since(t.at) < trialTTL || !t.isVoid && slices.ContainsFunc(l.holds, func(h *hold) bool {
+		return h.isInForce() && h.isTriedBy(t) && !t.at.Before(h.began)
+	})
+}
+
 // dropVoidTrial drops the oldest trial that did not run and reports whether there was one.
 func (l *Ledger) dropVoidTrial() bool {
 	var oldest *trial
@@ -162,3 +186,14 @@
 	delete(l.trials, id)
 	return oldest != nil
 }
+
+// numWith returns the number of crashes and possible ones at which a request had all of the given parts.
+func (l *Ledger) numWith(parts []Part) int {
+	n := 0
+	for _, c := range l.crashes {
+		if c.has(parts) {
+			n++
+		}
+	}
+	return n
+}
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -150,27 +150,30 @@
 
 // fail ends the call with an error.
 func (k *call) fail(kind fault.Kind, text string, retryAfter time.Duration) {
-	k.failAfterCrash(kind, text, retryAfter, time.Time{})
+	k.failAfterCrash(kind, text, retryAfter, breakage{})
 }
 
 // failAtUpstream ends a call without a whole answer from the upstream, and states whether that has crashed.
 func (k *call) failAtUpstream(text string) {
-	k.failAfterCrash(fault.Failed, text, 0, k.crashedAt())
+	k.failAfterCrash(fault.Failed, text, 0, k.breakage())
 }
 
-// crashedAt returns when the upstream crashed under the call, and zero if it did not.
-func (k *call) crashedAt() time.Time {
+// breakage returns when the upstream crashed under the call or broke it off.
+func (k *call) breakage() breakage {
 	if k.ctx.Err() != nil {
-		return time.Time{}
+		return breakage{}
 	}
-	return k.agent.lastCrash()
+	if at := k.agent.lastCrash(); !at.IsZero() {
+		return breakage{crashedAt: at}
+	}
+	return breakage{brokenAt: time.Now().Round(time.Millisecond)}
 }
 
-// failAfterCrash is fail with the time at which the upstream crashed, zero if it did not.
-func (k *call) failAfterCrash(kind fault.Kind, text string, retryAfter time.Duration, crashedAt time.Time) {
+// failAfterCrash is fail with what the upstream did.
+func (k *call) failAfterCrash(kind fault.Kind, text string, retryAfter time.Duration, b breakage) {
 	k.agent.log.Info("refused", "request", k.run.ID, "attempt", k.run.Attempt, "kind", kind, "text", text)
 	k.agent.events.Add("refused", k.run.ID, k.agent.settings.Name, string(kind)+": "+text)
-	k.outbox.finish(&frame.End{Kind: kind, Text: text, RetryAfter: retryAfter, CrashedAt: crashedAt})
+	k.outbox.finish(&frame.End{Kind: kind, Text: text, RetryAfter: retryAfter, CrashedAt: b.crashedAt, BrokenAt: b.brokenAt})
 }
 
 func (k *call) execute() {
--- a/io/agent/crash.go
+++ b/io/agent/crash.go
@@ -13,6 +13,12 @@
 // exitTime is the time that a process which ends may take between the ends of its connections and of its listener.
 const exitTime = 20 * time.Millisecond
 
+// breakage is when the upstream crashed under a call, or broke it off without being seen to have crashed; both zero for neither.
+type breakage struct {
+	crashedAt time.Time
+	brokenAt  time.Time
+}
+
 // isDown reports whether the upstream refuses connections.
 func (a *Agent) isDown() bool {
 	if socket.IsRefused(a.settings.Upstream) {
--- a/io/agent/nonrepeatable.go
+++ b/io/agent/nonrepeatable.go
@@ -91,7 +91,7 @@
 	k.recordHealth(answer, err, sentAt)
 	if err != nil {
 		table.MarkUnknown(k.run.Key)
-		k.failAfterCrash(fault.Unknown, err.Error(), 0, k.crashedAt())
+		k.failAfterCrash(fault.Unknown, err.Error(), 0, k.breakage())
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
@@ -103,7 +103,7 @@
 	body, err := limit.ReadAll(answer.Body, maxStoredAnswer)
 	if err != nil || k.agent.isCut(answer) {
 		k.agent.table.MarkUnknown(k.run.Key)
-		k.failAfterCrash(fault.Unknown, "the answer ended early or is too large", 0, k.crashedAt())
+		k.failAfterCrash(fault.Unknown, "the answer ended early or is too large", 0, k.breakage())
 		return
 	}
 	stored := dedup.Answer{Status: answer.StatusCode, Type: answer.Header.Get("Content-Type"), Body: body}
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -120,6 +120,18 @@
 	}
 }
 
+// recordBreakage records that an upstream has broken off this attempt and may have crashed.
+func (t *transfer) recordBreakage(at time.Time) {
+	q, name := t.request, t.attempt.up.conf.Load().Name
+	if len(q.parts) == 0 {
+		return
+	}
+	q.entry.log.Warn("upstream broke off a request", "request", q.id, "upstream", name, "bytes", t.received, "trial", q.isMessageTrial)
+	run := leave.Run{Key: uint32(xxhash.Sum64String(name)), Started: at.UnixMilli()}
+	added := q.entry.blame.BrokenOff(run, time.Now(), []blame.Suspect{{Begun: t.hasHead && t.received == 0, Parts: q.parts}})
+	q.entry.logBlocks(added, "itself")
+}
+
 // recordSound records that an upstream has answered the request. A server error says nothing of the request.
 func (t *transfer) recordSound() {
 	q := t.request
--- a/io/entry/transfer.go
+++ b/io/entry/transfer.go
@@ -185,6 +185,8 @@
 func (t *transfer) handleEnd(m *frame.End) *outcome {
 	if !m.CrashedAt.IsZero() {
 		t.recordCrash(m.CrashedAt)
+	} else if !m.BrokenAt.IsZero() {
+		t.recordBreakage(m.BrokenAt)
 	}
 	if m.Kind != "" {
 		return &outcome{fault: &fault.Error{Kind: m.Kind, Message: m.Text, RetryAfter: m.RetryAfter}, safeToRetry: m.SafeToRetry}
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -64,11 +64,16 @@
 // accuse records that an upstream closed the connection of this request. If the upstream has crashed, the request is suspect of
 // having caused it; as a prompt that depends on how far its response has come.
 func (x *exchange) accuse(u *upstream, run *member.Upstream, begun bool, events int) {
-	if u.isLeaving() {
-		return
+	x.hasFailed = true
+	x.checked = x.gate.accuse(u, run, x.asSuspect(begun, events))
+	if x.trial != nil {
+		x.trial.isUnclear = true
 	}
+}
+
+// asSuspect returns the request as one that may have crashed its upstream.
+func (x *exchange) asSuspect(begun bool, events int) suspect {
 	s := suspect{route: x.route.Name, digests: x.identity(), isTrial: x.isPartTrial, id: x.call.ID, names: x.call.PartNames(), events: events}
-	x.hasFailed = true
 	s.prompt = blame.Suspect{Begun: begun && events == 0, Parts: x.parts}
 	if events > 0 {
 		s.setAge(time.Since(x.firstEvent))
@@ -76,10 +81,7 @@
 	if x.trial != nil {
 		s.tried = &x.trial.of
 	}
-	x.checked = x.gate.accuse(u, run, s)
-	if x.trial != nil {
-		x.trial.isUnclear = true
-	}
+	return s
 }
 
 // accuse adds a suspect to those of an upstream, and checks whether the upstream has crashed unless that is being done. The
@@ -98,26 +100,43 @@
 }
 
 // checkCrash finds out whether the upstream's address refuses connections, which shows that its process has ended, and records
-// the crash if so. A partition or a loss of power is no crash. One that is back already shows by another run; see
-// confirmBreakages.
+// the crash if so. Otherwise it may have crashed: one that is back already, or whose VM is gone, shows by another run; see
+// confirmBreakages. One that leaves may have exited as planned.
 func (g *Gate) checkCrash(u *upstream, b *breakage) {
 	crashed := socket.IsRefused(b.run.Addr)
 	proc.Sleep(context.Background(), crashSettle)
-	crashed = crashed || socket.IsRefused(b.run.Addr)
+	crashed = (crashed || socket.IsRefused(b.run.Addr)) && !u.isLeaving()
 	g.mu.Lock()
 	u.breakage = nil
 	if !crashed {
 		g.keepBreakage(b)
 	}
 	g.mu.Unlock()
-	g.log.Warn("upstream closed connections", "upstream", b.run.ID, "service", b.run.Service, "crashed", crashed, "requests", len(b.suspects), "suspects", digestNames(b.suspects))
+	g.log.Warn("upstream broke off requests", "upstream", b.run.ID, "service", b.run.Service, "crashed", crashed, "leaving", u.isLeaving(), "age", time.Since(b.at), "requests", len(b.suspects), "suspects", digestNames(b.suspects))
 	if crashed {
 		u.breaker.Trip()
 		g.recordCrash(b)
+	} else {
+		g.recordBreakage(b)
 	}
 	close(b.checked)
 }
 
+// recordBreakage holds the parts of prompts that may have crashed an upstream. Its connections may have ended for another reason, so
+// that nothing is blocked for it until confirmBreakages shows the crash.
+func (g *Gate) recordBreakage(b *breakage) {
+	hadTrial := g.crashes.TrialAt(runOf(b.run)) || slices.ContainsFunc(b.suspects, func(s suspect) bool { return s.tried != nil })
+	prompts := g.weighPrompts(b, hadTrial)
+	if len(prompts) == 0 {
+		return
+	}
+	g.meter.Count("possible engine crashes")
+	g.blame.SetEntries(g.gossip.NumEntries())
+	g.logBlocks(g.blame.BrokenOff(runOf(b.run), b.at, prompts), "itself")
+	g.logChanges()
+	g.gossip.Trigger()
+}
+
 // triedRoute returns the route of a request that was tried at the upstream, empty for none.
 func (b *breakage) triedRoute() string {
 	for _, s := range b.suspects {
@@ -157,8 +176,10 @@
 
 const (
 	// restartWindow is how long after a connection was closed another run of the upstream shows that it has crashed. A new run
-	// registers within a few seconds.
-	restartWindow = 8 * time.Second
+	// registers some seconds after the crash.
+	restartWindow = 16 * time.Second
+	// silenceWindow is the time within which the requests to a silent upstream are given up. The callers of most wait as long.
+	silenceWindow = 4 * time.Second
 	// maxBreakages limits the closed connections that are remembered for that.
 	maxBreakages = 64
 )
@@ -179,17 +200,24 @@
 // they had stated that they leave. isReplaced reports whether a run has been replaced; the lock must be held.
 func (g *Gate) confirmBreakages(isReplaced func(run *member.Upstream) bool) {
 	kept := g.breakages[:0]
+	var crashed *breakage // A run crashes once, when it broke off requests last.
 	for _, b := range g.breakages {
 		switch {
 		case time.Since(b.at) >= restartWindow || g.leaving.Has(runOf(b.run)):
+		case isReplaced(b.run) && crashed != nil && crashed.run.SameRun(b.run) && b.at.Sub(crashed.at) < silenceWindow:
+			crashed.suspects = append(crashed.suspects, b.suspects[:min(len(b.suspects), maxCrashSuspects-len(crashed.suspects))]...)
 		case isReplaced(b.run):
-			go g.recordCrash(b)
+			crashed = b
 		default:
 			kept = append(kept, b)
 		}
 	}
 	clear(g.breakages[len(kept):])
 	g.breakages = kept
+	if crashed != nil {
+		crashed.abandoned = g.abandonedAt(crashed.run, crashed.at) // Also those that were given up since.
+		go g.recordCrash(crashed)
+	}
 }
 
 // maxLoggedSuspects limits the suspects in a log line.
--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -59,6 +59,7 @@
 	after      time.Duration          // From the first event to the crash; see simop.Crash.
 	back       time.Duration          // Time that a crashed engine is down.
 	events     int                    // Of other streams, 15 ms apart; 0 for 6.
+	accepts    bool                   // The address of a crashed engine accepts connections and drops them.
 	tallies    map[string]*crashTally // By part.
 
 	mu      sync.Mutex
@@ -163,8 +164,14 @@
 	}
 	addr := e.Addr()
 	go func() {
+		stop := func() {}
+		if f.accepts {
+			e.StopListening()
+			stop = dropConns(f.t, addr)
+		}
 		e.Crash()
 		time.Sleep(f.back)
+		stop()
 		f.store.Remove("servers/" + e.ID)
 		l, err := net.Listen("tcp", addr.String())
 		if err != nil {
@@ -175,6 +182,25 @@
 	}()
 }
 
+// dropConns accepts connections to an address and drops them until the returned function is called.
+func dropConns(t *testing.T, addr netip.AddrPort) (stop func()) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		t.Errorf("connections not dropped: %v", err)
+		return func() {}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	return func() { _ = l.Close() }
+}
+
 // numCrashes returns the number of crashes under crashPart.
 func (f *crashFleet) numCrashes() int {
 	crashes, _ := f.tallies[crashPart].late()
@@ -260,10 +286,20 @@
 
 // TestPartThatCrashesEngines guards against prompts with one part that crash engine after engine.
 func TestPartThatCrashesEngines(t *testing.T) {
+	checkPartThatCrashesEngines(t, &crashFleet{stage: simop.AfterHead, back: restartTime})
+}
+
+// TestPartBehindAcceptingAddress guards against the same if the addresses of crashed engines refuse no connections, so that crashes
+// show only by the registrations of their next runs.
+func TestPartBehindAcceptingAddress(t *testing.T) {
+	checkPartThatCrashesEngines(t, &crashFleet{stage: simop.AfterHead, back: 5 * time.Second, accepts: true})
+}
+
+func checkPartThatCrashesEngines(t *testing.T, fleet *crashFleet) {
 	t.Parallel()
 	store := newStore(t)
 	store.Put("op/config", config(1, 3000))
-	fleet := newCrashFleet(t, store, 6)
+	fleet.run(t, store, 6, crashPart)
 	gates := startCluster(t, store, 3)
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -88,10 +88,15 @@
 	r.server.Close()
 }
 
+// StopListening closes the listener and leaves open connections alone.
+func (r *Replica) StopListening() {
+	_ = r.server.Listener.Close() // It may be closed already.
+}
+
 // Crash ends the replica as a crash of its process does: open connections are closed and new ones refused.
 func (r *Replica) Crash() {
 	r.hasCrashed.Store(true)
-	_ = r.server.Listener.Close() // It may be closed already.
+	r.StopListening()
 	r.server.CloseClientConnections()
 }
 
