gate: an answer with a content encoding isn't the upstream's body

Cause: relayBody and relayStream looked at the seal and the status alone; nothing read Content-Encoding, which was passed on.

Change: platform.ReadReply states whether a response names an encoding other than identity (in any of several lines or list elements); such a response counts as broken: it is repeated where the route allows, a stream goes on elsewhere, else the caller gets 502. A statement that a request didn't run, and the id in a health check, stand in headers and count as before.

--- a/core/call/dispatch.go
+++ b/core/call/dispatch.go
@@ -42,6 +42,7 @@
 	ID       string // Attempt id of the request that the upstream answers; empty if not given.
 	NotRun   bool   // The upstream did not run the request and will not.
 	HasSeal  bool   // Has the header that only the upstream sets.
+	Encoded  bool   // States a content encoding, which no request asks for: its body isn't the upstream's own.
 	Instance string // Name of the upstream that answers; empty if not given.
 	Load     *Load  // Nil if not given or not readable.
 	Leaving  bool   // The upstream states that it leaves.
--- a/io/gate/relay.go
+++ b/io/gate/relay.go
@@ -79,8 +79,13 @@
 // give a better one.
 func (x *exchange) isUnusable(ctx context.Context, u *upstream, resp *client.Response) bool {
 	id, status := u.info.Load().ID, resp.StatusCode
+	reply := platform.ReadReply(status, resp.Header)
 	switch {
-	case status < http.StatusBadRequest && !platform.ReadReply(status, resp.Header).HasSeal:
+	case reply.Encoded:
+		x.gate.log.Warn("response has a content encoding", "id", x.call.ID, "upstream", id, "status", status, "encoding", resp.Header["Content-Encoding"])
+		x.health.Failure()
+		return true
+	case status < http.StatusBadRequest && !reply.HasSeal:
 		x.gate.log.Warn("response lacks the upstream's seal", "id", x.call.ID, "upstream", id, "status", status)
 		x.health.Failure()
 		return true
@@ -163,8 +168,8 @@
 // continues the stream after the last event that the caller has received.
 func (x *exchange) relayStream(ctx context.Context, u *upstream, resp *client.Response) result {
 	info := u.info.Load()
-	if !platform.ReadReply(resp.StatusCode, resp.Header).HasSeal {
-		x.gate.log.Warn("response lacks the upstream's seal", "id", x.call.ID, "upstream", info.ID)
+	if reply := platform.ReadReply(resp.StatusCode, resp.Header); !reply.HasSeal || reply.Encoded {
+		x.gate.log.Warn("response lacks the upstream's seal or has a content encoding", "id", x.call.ID, "upstream", info.ID, "seal", reply.HasSeal, "encoded", reply.Encoded)
 		x.possibleRuns++
 		x.health.Failure()
 		return maybeRun
