soak: engines leave or lapse and are killed under answers without a length

A third series of faults: a decoding engine whose answers have no length states that it leaves (in the list or in its answers), or loses its registration, and is killed under its streams.

--- a/io/gate/soak_test.go
+++ b/io/gate/soak_test.go
@@ -154,6 +154,15 @@
 			}
 		}()
 	}
+	if playsLeaving(seed) {
+		faultSeries.Go(func() {
+			random := rand.New(rand.NewPCG(seed, 200))
+			for time.Now().Before(end) {
+				c.leaveAndKill(random)
+				time.Sleep(time.Duration(500+random.IntN(2000)) * time.Millisecond)
+			}
+		})
+	}
 	faultSeries.Wait()
 	c.limiting.Wait()
 	c.store.SetMode(simop.Up)
--- a/io/simop/replica.go
+++ b/io/simop/replica.go
@@ -37,6 +37,7 @@
 	abortAfter     int               // Number of events after which a stream is aborted; 0 for never.
 	disconnects    int               // Number of streams whose callers disconnected.
 	heldCaches     map[string]bool   // Handles of KV caches that were neither taken nor released.
+	unframed       bool              // Answers have neither a length nor chunks and end with their connection.
 	leaving        bool              // Every answer states that the replica leaves.
 	retryAfter     string            // Unless empty, every call is turned away with this Retry-After.
 	healthChecks   int               // Number of health checks.
@@ -193,6 +194,13 @@
 	r.leaving = leaving
 }
 
+// SetUnframed makes answers to requests have neither a length nor chunks, so that they end with their connection.
+func (r *Replica) SetUnframed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unframed = true
+}
+
 // SetRetryAfter makes the replica turn every call away with status 503 and this Retry-After, unless it is empty.
 func (r *Replica) SetRetryAfter(retryAfter string) {
 	r.mu.Lock()
@@ -370,7 +378,11 @@
 		return
 	}
 	r.runs[id]++
+	unframed := r.unframed
 	r.mu.Unlock()
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // The server then sends none and ends the body with the connection.
+	}
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Response-Seal", r.ID+"."+id)
 	if stage == "" {
