gate: a possible crash needs a health check that isn't answered

Possible crashes are judged and told with the regular reports. The bound on trials goes by crashes that are sure.

--- a/core/blame/hold.go
+++ b/core/blame/hold.go
@@ -48,7 +48,7 @@
 	sent     map[Part]int // Of the parts, by this entry until then.
 	trials   int
 	late     int       // Trials that began after minOther crashes; see maxLateTrials.
-	isOften  bool      // Its parts were at minOther crashes or possible ones.
+	isOften  bool      // Its parts were at minOther crashes.
 	last     time.Time // Of the trials.
 	lifted   time.Time // Zero while it is in force.
 	answers  int       // To prompts with the parts since it began, minSpacing apart.
--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -77,7 +77,7 @@
 	released    map[Part]time.Time // When the holds of parts ended that were answered, which is told for reportTTL.
 	decided     time.Time          // When the evidence was judged last.
 	changes     []Change           // Not taken yet, the oldest first.
-	hasLateNews bool               // Late suspects were added since the evidence was judged.
+	hasLateNews bool               // Late suspects or possible crashes were added since the evidence was judged.
 	suspected   map[Part]int       // Crashes since their last answers of the parts that were at minSuspected or more, as judged last.
 }
 
@@ -250,7 +250,7 @@
 	}
 	for _, c := range r.Unsure {
 		if l.addCrash(c, false) {
-			changed = true
+			l.hasLateNews = true // As those below; there may be many.
 		}
 	}
 	for _, c := range r.Late {
--- a/core/blame/trial.go
+++ b/core/blame/trial.go
@@ -187,11 +187,11 @@
 	return oldest != nil
 }
 
-// numWith returns the number of crashes and possible ones at which a request had all of the given parts.
+// numWith returns the number of crashes at which a request had all of the given parts, without possible ones.
 func (l *Ledger) numWith(parts []Part) int {
 	n := 0
 	for _, c := range l.crashes {
-		if c.has(parts) {
+		if !c.isUnsure && c.has(parts) {
 			n++
 		}
 	}
--- a/io/gate/crash.go
+++ b/io/gate/crash.go
@@ -116,10 +116,35 @@
 	if crashed {
 		u.breaker.Trip()
 		g.recordCrash(b)
-	} else {
-		g.recordBreakage(b)
 	}
 	close(b.checked)
+	if !crashed && g.isGone(b.run) {
+		g.recordBreakage(b)
+	}
+}
+
+const (
+	// goneTimeout limits a health check of an upstream that has broken off requests. One that is busy answers later and is alive.
+	goneTimeout = 150 * time.Millisecond
+	// goneChecks is the number of checks; the first may meet an idle connection that was closed before.
+	goneChecks = 2
+)
+
+// isGone reports whether a run that has broken off requests doesn't answer a health check: connections are closed, or another one
+// answers. Upstreams also break off single requests and go on, which says nothing against these.
+func (g *Gate) isGone(run *member.Upstream) bool {
+	if g.healthPath(run.Service) == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
+	defer cancel()
+	for range goneChecks {
+		a, err := listedRun{gate: g, info: run}.Check(ctx)
+		if err == nil {
+			return a.Instance != run.ID
+		}
+	}
+	return ctx.Err() == nil
 }
 
 // recordBreakage holds the parts of prompts that may have crashed an upstream. Its connections may have ended for another reason, so
@@ -132,9 +157,7 @@
 	}
 	g.meter.Count("possible engine crashes")
 	g.blame.SetEntries(g.gossip.NumEntries())
-	g.logBlocks(g.blame.BrokenOff(runOf(b.run), b.at, prompts), "itself")
-	g.logChanges()
-	g.gossip.Trigger()
+	g.blame.BrokenOff(runOf(b.run), b.at, prompts) // Judged, and told, a few times a second.
 }
 
 // triedRoute returns the route of a request that was tried at the upstream, empty for none.
--- a/io/gate/stall.go
+++ b/io/gate/stall.go
@@ -121,11 +121,6 @@
 		return false
 	}
 	x.gate.log.Warn("engine stalled", "id", x.call.ID, "upstream", id, "events", x.events, "took", time.Since(began))
-	events := 0
-	if !x.firstEvent.IsZero() {
-		events = x.events
-	}
-	x.gate.accuse(u, u.info.Load(), x.asSuspect(false, events)) // Its VM may be gone, which refuses no connection.
 	u.breaker.Trip()
 	x.cause, x.grant = repeat.Stalled, grant
 	return true
