agent: an attempt is a possible crash only if the upstream answers no others

The agent asks for the engine's state on a new connection within 150 ms; only a connection that ends without an answer counts.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -76,7 +76,7 @@
 	RetryAfter  time.Duration `cbor:"6,keyasint,omitempty"` // How long the caller should wait before a retry.
 	SafeToRetry bool          `cbor:"7,keyasint,omitempty"` // Another attempt is safe and takes nothing from the retry budget; a key has a tombstone at the agent.
 	CrashedAt   time.Time     `cbor:"8,keyasint,omitzero"`  // When the upstream crashed under the attempt, the same for all attempts there; zero if it didn't.
-	// BrokenAt is when the upstream broke off the attempt without being seen to have crashed; zero if it didn't.
+	// BrokenAt is when the upstream broke off the attempt and answered no others, though its address accepts connections; zero if it didn't.
 	BrokenAt time.Time `cbor:"9,keyasint,omitzero"`
 }
 
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -158,7 +158,7 @@
 	k.failAfterCrash(fault.Failed, text, 0, k.breakage())
 }
 
-// breakage returns when the upstream crashed under the call or broke it off.
+// breakage returns what the upstream did under the call.
 func (k *call) breakage() breakage {
 	if k.ctx.Err() != nil {
 		return breakage{}
@@ -166,6 +166,9 @@
 	if at := k.agent.lastCrash(); !at.IsZero() {
 		return breakage{crashedAt: at}
 	}
+	if !k.agent.isGone() {
+		return breakage{}
+	}
 	return breakage{brokenAt: time.Now().Round(time.Millisecond)}
 }
 
--- a/io/agent/crash.go
+++ b/io/agent/crash.go
@@ -1,7 +1,11 @@
 package agent
 
 import (
+	"context"
+	"errors"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"pimentoseam/io/socket"
@@ -13,7 +17,18 @@
 // exitTime is the time that a process which ends may take between the ends of its connections and of its listener.
 const exitTime = 20 * time.Millisecond
 
-// breakage is when the upstream crashed under a call, or broke it off without being seen to have crashed; both zero for neither.
+// goneTimeout limits the wait for the state of an upstream that has broken off a call. One that is busy answers later and is alive.
+const goneTimeout = 150 * time.Millisecond
+
+// isGone reports whether connections to the upstream end without an answer. One that breaks off single calls answers others.
+func (a *Agent) isGone() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
+	defer cancel()
+	_, err := a.client.State(ctx)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// breakage is when the upstream crashed under a call, or broke it off and doesn't answer others; both zero for neither.
 type breakage struct {
 	crashedAt time.Time
 	brokenAt  time.Time
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -128,8 +128,8 @@
 	}
 	q.entry.log.Warn("upstream broke off a request", "request", q.id, "upstream", name, "bytes", t.received, "trial", q.isMessageTrial)
 	run := leave.Run{Key: uint32(xxhash.Sum64String(name)), Started: at.UnixMilli()}
-	added := q.entry.blame.BrokenOff(run, time.Now(), []blame.Suspect{{Begun: t.hasHead && t.received == 0, Parts: q.parts}})
-	q.entry.logBlocks(added, "itself")
+	q.entry.blame.BrokenOff(run, time.Now(), []blame.Suspect{{Begun: t.hasHead && t.received == 0, Parts: q.parts}})
+	q.entry.reviewCrashes() // Other attempts of the request follow at once.
 }
 
 // recordSound records that an upstream has answered the request. A server error says nothing of the request.
--- a/io/fleet/crash_test.go
+++ b/io/fleet/crash_test.go
@@ -21,14 +21,26 @@
 // TestCrashingPrompt guards against prompts with one message that crash engine after engine, at every entry and by repeats.
 func TestCrashingPrompt(t *testing.T) {
 	for name, soundPerPrompt := range map[string]int{"many sound ones": 40, "few sound ones": 4} {
-		t.Run(name, func(t *testing.T) { testCrashingPrompt(t, soundPerPrompt) })
+		t.Run(name, func(t *testing.T) { testCrashingPrompt(t, soundPerPrompt, false) })
 	}
 }
 
-// testCrashingPrompt is one case of TestCrashingPrompt with sound prompts before each one at fault.
-func testCrashingPrompt(t *testing.T, soundPerPrompt int) {
+// TestCrashingPromptBehindRelays guards against the same if the addresses of crashed engines accept connections.
+func TestCrashingPromptBehindRelays(t *testing.T) {
+	testCrashingPrompt(t, 40, true)
+}
+
+// testCrashingPrompt is one case of TestCrashingPrompt with sound prompts before each one at fault. If hasRelays is set, agents reach
+// their engines by relays, which accept connections also while an engine is down.
+func testCrashingPrompt(t *testing.T, soundPerPrompt int, hasRelays bool) {
 	const engines, prompts = 3, 16
-	c := startCluster(t, 2, engines, 0)
+	c := newCluster(t, 2, engines, 0)
+	for i := range engines {
+		if hasRelays {
+			c.relayUpstream(fmt.Sprintf("clerks-%d", i+1))
+		}
+	}
+	c.startAll()
 	names := make([]string, engines)
 	for i := range names {
 		names[i] = fmt.Sprintf("engine-clerks-%d", i+1)
