--- a/core/blame/ledger.go
+++ b/core/blame/ledger.go
@@ -26,7 +26,7 @@
 	// minRestart is the shortest time between two crashes of one engine. Entries name a run that they haven't heard of by the time
 	// of its crash, which differs a little from one to another.
 	minRestart = time.Second
-	// minUnsureRestart replaces it for possible crashes. Requests to an engine that has gone silent are given up over some seconds.
+	// minUnsureRestart replaces it for possible crashes. The requests to an engine that may have ended can break off one after the other.
 	minUnsureRestart = 2500 * time.Millisecond
 	// evidenceTTL is how long a crash counts. A part that comes rarely crashes engines minutes apart.
 	evidenceTTL = 10 * time.Minute
